--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Experiments and load for flamingoscale.
+
+fn main() {}
--- /dev/null
+++ b/flamingoctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/flamingoscale/src/lib.rs
@@ -0,0 +1,50 @@
+//! flamingoscale is a rollout service for reinforcement learning: everything between callers
+//! (trainers, lookups, drafting clients) and endpoints (model engines, plain services).
+//!
+//! Every entry instance runs the same daemon. What lasts lives in the platform's append-only log;
+//! every instance folds the same records into the same state:
+//!
+//! ```
+//! use flamingoscale::record::{Envelope, Record};
+//! use flamingoscale::state::State;
+//!
+//! let mut state = State::default();
+//! let envelope = Envelope {
+//!     writer: "n1".into(),
+//!     incarnation: 7,
+//!     serial: 1,
+//!     record: Record::VersionPublished {
+//!         trainer: "notes".into(),
+//!         version: 3,
+//!         bytes: 1_000,
+//!     },
+//! };
+//! assert!(state.fold(0, &envelope).is_ok());
+//! // The same append again has no further effect.
+//! assert!(state.fold(1, &envelope).is_err());
+//! assert_eq!(state.versions["notes"].version, 3);
+//! ```
+//!
+//! The design is under `docs/design/`, the words under `docs/GLOSSARY.md`.
+
+pub mod clock;
+pub mod configuration;
+pub mod dispatch;
+pub mod engine;
+pub mod gateway;
+pub mod instance;
+pub mod keys;
+pub mod log;
+pub mod membership;
+pub mod metrics;
+pub mod outcome;
+pub mod peer;
+pub mod platform;
+pub mod record;
+pub mod rollout;
+pub mod settings;
+pub mod state;
+pub mod timeline;
+pub mod usage;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/flamingoscale/src/membership.rs
@@ -0,0 +1,64 @@
+//! Who is alive: probes between peers, suspicion, refutation, leaving.
+
+use std::sync::Arc;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::view::Member;
+
+/// What peers tell each other of members.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum Message {
+    /// Are you there? With what the sender knows.
+    Probe {
+        /// The sender itself.
+        sender: Member,
+        /// Recent changes.
+        gossip: Vec<Update>,
+    },
+    /// Yes, with what the receiver knows.
+    Ack {
+        /// The receiver itself.
+        sender: Member,
+        /// Recent changes.
+        gossip: Vec<Update>,
+    },
+    /// Probe this member for me.
+    ProbeFor {
+        /// The member.
+        target: Member,
+    },
+    /// The member that was to be probed did not answer.
+    NoAnswer,
+}
+
+/// How a member stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Health {
+    /// It answers.
+    Alive,
+    /// It missed probes and may still refute.
+    Suspect,
+    /// It said that it goes.
+    Leaving,
+    /// It is gone.
+    Dead,
+}
+
+/// One change that spreads.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// The member.
+    pub member: Member,
+    /// How it stands.
+    pub health: Health,
+    /// Raised by the member itself to refute a suspicion.
+    pub refutation: u32,
+}
+
+/// Names the instance for logs.
+pub type InstanceId = Arc<str>;
--- /dev/null
+++ b/flamingoscale/src/metrics.rs
@@ -0,0 +1,94 @@
+//! Counters and histograms, served at `/metrics`.
+
+use std::sync::Mutex;
+
+use prometheus_client::{
+    encoding::{
+        text::encode,
+        EncodeLabelSet, //
+    },
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge, //
+    },
+    registry::Registry, //
+};
+
+/// Labels of the request counter.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The service.
+    pub service: String,
+    /// `not-run`, `ran` or `unknown`.
+    pub outcome: String,
+}
+
+/// Labels of a counter with one distinguishing word.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct KindLabel {
+    /// The word.
+    pub kind: String,
+}
+
+/// The metrics of one instance. Families are cheap to clone and may be used on any thread.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests by service and outcome.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Anything counted by one word, such as `log.foreign_record`.
+    pub events: Family<KindLabel, Counter>,
+    /// Anything with a current value, by one word.
+    pub levels: Family<KindLabel, Gauge>,
+    registry: Mutex<Registry>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let requests = Family::default();
+        let events = Family::default();
+        let levels = Family::default();
+        let mut registry = Registry::with_prefix("flamingoscale");
+        registry.register("requests", "Requests by outcome", requests.clone());
+        registry.register("events", "Events by kind", events.clone());
+        registry.register("level", "Current values by kind", levels.clone());
+        Self {
+            requests,
+            events,
+            levels,
+            registry: Mutex::new(registry),
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one event of a kind.
+    pub fn count(&self, kind: &str) {
+        let label = KindLabel { kind: kind.into() };
+        self.events.get_or_create(&label).inc();
+    }
+
+    /// Returns how many events of a kind were counted.
+    pub fn counted(&self, kind: &str) -> u64 {
+        let label = KindLabel { kind: kind.into() };
+        self.events.get_or_create(&label).get()
+    }
+
+    /// Sets a current value.
+    pub fn set_level(&self, kind: &str, value: i64) {
+        let label = KindLabel { kind: kind.into() };
+        self.levels.get_or_create(&label).set(value);
+    }
+
+    /// Renders all metrics in the OpenMetrics text format.
+    pub fn render(&self) -> String {
+        let registry = self
+            .registry
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/peer.rs
@@ -0,0 +1,159 @@
+//! The instances' own protocol: `h2` streams that carry `bincode` messages.
+//!
+//! One request opens one stream; the answer is any number of replies. Dropping the receiving end
+//! resets the stream, which is how cancellation travels. See `docs/design/peers.md`.
+
+use std::sync::Arc;
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use tokio::sync::mpsc;
+
+use crate::{
+    dispatch,
+    gateway,
+    log,
+    membership,
+    rollout,
+    timeline::Stamp,
+    usage, //
+};
+
+/// The result of a call to a peer.
+pub type Result<T> = std::result::Result<T, PeerError>;
+
+/// Replies that wait in one stream before its sender is held back.
+const STREAM_REPLIES: usize = 32;
+
+/// Why a call to a peer failed, told apart by what may be concluded of the request.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum PeerError {
+    /// The request can't have reached the peer's handler.
+    #[display("peer {peer} was not reached ({reason}): choose another or try later")]
+    NotSent {
+        /// The peer.
+        peer: Arc<str>,
+        /// What went wrong.
+        reason: Arc<str>,
+    },
+    /// The request may have reached the peer.
+    #[display("the answer of peer {peer} was lost ({reason}): what it did is unknown")]
+    Lost {
+        /// The peer.
+        peer: Arc<str>,
+        /// What went wrong.
+        reason: Arc<str>,
+    },
+    /// The peer answered with something that this build can't read.
+    #[display("peer {peer} sent garbage: its connection was dropped; check its build")]
+    Garbage {
+        /// The peer.
+        peer: Arc<str>,
+    },
+}
+
+/// What one instance asks of another; each part of the system owns its own messages.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum PeerRequest {
+    /// Probes and gossip.
+    Membership(membership::Message),
+    /// Records of the log, freshness, withdrawals.
+    Log(log::Message),
+    /// Work for the home of an endpoint.
+    Dispatch(dispatch::Message),
+    /// Idempotency, limits, quarantine.
+    Gateway(gateway::Message),
+    /// Steps and samples.
+    Rollout(rollout::Message),
+    /// Copies of usage counts.
+    Usage(usage::Message),
+}
+
+/// What a peer answers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum PeerReply {
+    /// To [`PeerRequest::Membership`].
+    Membership(membership::Message),
+    /// To [`PeerRequest::Log`].
+    Log(log::Reply),
+    /// To [`PeerRequest::Dispatch`].
+    Dispatch(dispatch::WorkEvent),
+    /// To [`PeerRequest::Gateway`].
+    Gateway(gateway::Reply),
+    /// To [`PeerRequest::Rollout`].
+    Rollout(rollout::Reply),
+    /// To [`PeerRequest::Usage`].
+    Usage(usage::Reply),
+}
+
+/// What travels in one direction of a stream, with the sender's time-line stamp.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Frame<T> {
+    /// The sender's time.
+    pub stamp: Stamp,
+    /// The sender's id.
+    pub from: Arc<str>,
+    /// The message.
+    pub body: T,
+}
+
+/// Where a handler puts its replies; dropping it ends the stream.
+pub type ReplySender = mpsc::Sender<PeerReply>;
+
+/// What runs for a peer's request. Called on a peer thread, it must return at once: it spawns a
+/// local task or passes the request to the control thread.
+pub trait PeerHandler: Send + Sync {
+    /// Takes one request of the peer `from`.
+    fn handle(&self, from: Arc<str>, request: PeerRequest, reply: ReplySender);
+}
+
+/// The replies to one request.
+#[derive(Debug)]
+pub struct PeerStream {
+    receiver: mpsc::Receiver<Result<PeerReply>>,
+}
+
+impl PeerStream {
+    /// A stream and the end that fills it.
+    pub fn channel() -> (mpsc::Sender<Result<PeerReply>>, Self) {
+        let (sender, receiver) = mpsc::channel(STREAM_REPLIES);
+        (sender, Self { receiver })
+    }
+
+    /// Returns the next reply, or nothing once the peer has ended the stream.
+    pub async fn next(&mut self) -> Option<Result<PeerReply>> {
+        self.receiver.recv().await
+    }
+
+    /// Returns the only reply of a request that has one.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::Lost`] when the stream ended without one.
+    pub async fn single(mut self, peer: &Arc<str>) -> Result<PeerReply> {
+        match self.next().await {
+            Some(reply) => reply,
+            None => Err(PeerError::Lost {
+                peer: peer.clone(),
+                reason: "the stream ended early".into(),
+            }),
+        }
+    }
+}
+
+/// Calls to other instances. May be used from any thread of the runtime.
+pub trait Peers: Send + Sync {
+    /// Opens a stream to the peer at `peer_address` and sends it one request.
+    ///
+    /// Failures come as the first item of the stream.
+    fn open(&self, peer: &Arc<str>, peer_address: &Arc<str>, request: PeerRequest) -> PeerStream;
+}
--- /dev/null
+++ b/flamingoscale/src/state.rs
@@ -0,0 +1,486 @@
+//! What the records of the log add up to.
+//!
+//! The fold is a pure function of the records in order. A change names the entry that it
+//! replaces and is dropped when that entry is no longer in force, so races and repeated appends
+//! are harmless. See `docs/design/state.md`.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    configuration::Configuration,
+    keys::{
+        KeyEntry,
+        KeyTable, //
+    },
+    record::{
+        Envelope,
+        Record, //
+    },
+    usage::Figures,
+    view::{
+        Endpoint,
+        EndpointKey,
+        EndpointTable,
+        NewestVersion, //
+    },
+    wire::{
+        PlatformAction,
+        PlatformEndpoint, //
+    }, //
+};
+
+/// Why a submitted record is not in force.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum SubmitError {
+    /// The fold dropped it: what it replaces is no longer in force.
+    #[display("refused ({reason}): read the current state and submit against that")]
+    Refused {
+        /// Which rule dropped it.
+        reason: Rejection,
+    },
+    /// The log can't be reached; the record was not appended.
+    #[display("the log is away: nothing was changed; try again when it is back")]
+    LogAway,
+    /// The record may be appended; its fate was not seen in time.
+    #[display("not confirmed in time: read the current state before trying again")]
+    Unknown,
+}
+
+/// The rule by which the fold drops a record.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
+#[non_exhaustive]
+pub enum Rejection {
+    /// The same submission was folded before.
+    #[display("a repeated append")]
+    Repeated,
+    /// What it replaces is not in force any more.
+    #[display("a newer entry is in force")]
+    Stale,
+    /// It names something that is not there.
+    #[display("it names something unknown")]
+    Unknown,
+    /// It needs a lease that its writer does not hold.
+    #[display("its writer does not hold the lease")]
+    NotHolder,
+}
+
+/// The lease for endpoint orders of a region.
+pub fn orders_lease(region: &str) -> Arc<str> {
+    format!("orders/{region}").into()
+}
+
+/// The lease for usage reports of a region.
+pub fn usage_lease(region: &str) -> Arc<str> {
+    format!("usage/{region}").into()
+}
+
+/// A lease as the log knows it. Whether it has run out is for each instance's own clock to say.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseEntry {
+    /// Who claimed it.
+    pub holder: Arc<str>,
+    /// The holder's incarnation.
+    pub incarnation: u64,
+    /// The offset of the first claim of this term: the fencing number.
+    pub fencing: u64,
+    /// The offset of the last claim or renewal.
+    pub claim: u64,
+    /// How long it lasts from the last claim.
+    pub lease_ms: u64,
+    /// True once the holder gave it back.
+    pub released: bool,
+}
+
+/// An order whose outcome is not yet in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenOrder {
+    /// The region.
+    pub region: Arc<str>,
+    /// The claim under which it was given.
+    pub claim: u64,
+    /// What to do.
+    pub action: PlatformAction,
+}
+
+/// A closed usage window.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClosedWindow {
+    /// The figures that it is reported with.
+    pub figures: Figures,
+    /// Whether the platform took the report.
+    pub reported: bool,
+}
+
+/// Usage of one region.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RegionUsage {
+    /// The number that the next window gets.
+    pub next_window: u64,
+    /// Closed windows that the platform has not yet taken, and the last one that it has.
+    pub windows: BTreeMap<u64, ClosedWindow>,
+}
+
+/// The state after the records before [`State::folded`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// All records before this offset are folded.
+    pub folded: u64,
+    /// The offset of the configuration in force; 0 for none.
+    pub revision: u64,
+    /// The questionnaire's text in force.
+    pub text: Arc<str>,
+    /// The configuration in force.
+    pub configuration: Arc<Configuration>,
+    /// All keys.
+    pub keys: Arc<KeyTable>,
+    /// All endpoints.
+    pub endpoints: Arc<EndpointTable>,
+    /// All leases by name.
+    pub leases: BTreeMap<Arc<str>, LeaseEntry>,
+    /// Orders without an outcome, by number.
+    pub open_orders: BTreeMap<u64, OpenOrder>,
+    /// Newest weights by trainer.
+    pub versions: Arc<BTreeMap<Arc<str>, NewestVersion>>,
+    /// Counts that no window covers yet.
+    pub pending_usage: Figures,
+    /// Last counts record of each incarnation: instance and incarnation to sequence.
+    pub usage_sequences: BTreeMap<(Arc<str>, u64), u64>,
+    /// Windows by region.
+    pub usage: BTreeMap<Arc<str>, RegionUsage>,
+    /// The last serial folded of each writer's incarnation.
+    pub serials: BTreeMap<(Arc<str>, u64), u64>,
+}
+
+impl State {
+    /// Folds the record at `offset`, which must be [`State::folded`].
+    ///
+    /// # Errors
+    ///
+    /// The [`Rejection`] when the record has no effect; the state has moved past it all the same.
+    pub fn fold(&mut self, offset: u64, envelope: &Envelope) -> Result<(), Rejection> {
+        self.skip(offset);
+        self.check_serial(envelope)?;
+        match &envelope.record {
+            Record::Configuration {
+                base_revision,
+                text,
+                configuration,
+            } => self.configure(offset, *base_revision, text, configuration),
+            Record::KeyGranted {
+                key_id,
+                digest,
+                organisation,
+            } => self.grant_key(key_id, digest, organisation),
+            Record::KeyWithdrawn { key_id } => self.withdraw_key(key_id),
+            Record::LeaseClaim {
+                lease,
+                replaces,
+                lease_ms,
+            } => self.claim(offset, envelope, lease, *replaces, *lease_ms),
+            Record::LeaseRelease { lease, claim } => self.release(lease, *claim),
+            Record::Endpoints {
+                claim,
+                changed,
+                gone,
+            } => self.change_endpoints(*claim, envelope, changed, gone),
+            Record::OrderIntent {
+                claim,
+                region,
+                action,
+            } => self.intend(offset, *claim, envelope, region, action),
+            Record::OrderOutcome { order, .. } => self.settle(*order),
+            Record::VersionPublished {
+                trainer,
+                version,
+                bytes,
+            } => self.publish(trainer, *version, *bytes),
+            Record::UsageCounts {
+                sequence,
+                of_instance,
+                of_incarnation,
+                figures,
+            } => self.count_usage(*sequence, of_instance, *of_incarnation, figures),
+            Record::WindowClosed {
+                claim,
+                region,
+                window,
+                figures,
+                covers,
+            } => self.close_window(*claim, envelope, region, *window, *covers, figures),
+            Record::WindowReported { region, window } => self.mark_reported(region, *window),
+            Record::SnapshotChunk { .. } => Ok(()),
+        }
+    }
+
+    /// Moves past a record that can't be read.
+    pub fn skip(&mut self, offset: u64) {
+        self.folded = offset + 1;
+    }
+
+    fn check_serial(&mut self, envelope: &Envelope) -> Result<(), Rejection> {
+        let writer = (envelope.writer.clone(), envelope.incarnation);
+        let last = self.serials.entry(writer).or_default();
+        if envelope.serial <= *last {
+            return Err(Rejection::Repeated);
+        }
+        *last = envelope.serial;
+        Ok(())
+    }
+
+    fn configure(
+        &mut self,
+        offset: u64,
+        base_revision: u64,
+        text: &Arc<str>,
+        configuration: &Arc<Configuration>,
+    ) -> Result<(), Rejection> {
+        if base_revision != self.revision {
+            return Err(Rejection::Stale);
+        }
+        self.revision = offset;
+        self.text = text.clone();
+        self.configuration = configuration.clone();
+        Ok(())
+    }
+
+    fn grant_key(
+        &mut self,
+        key_id: &Arc<str>,
+        digest: &[u8; 32],
+        organisation: &Arc<str>,
+    ) -> Result<(), Rejection> {
+        let entry = KeyEntry {
+            key_id: key_id.clone(),
+            digest: *digest,
+            organisation: organisation.clone(),
+            withdrawn: false,
+        };
+        Arc::make_mut(&mut self.keys).grant(entry);
+        Ok(())
+    }
+
+    fn withdraw_key(&mut self, key_id: &str) -> Result<(), Rejection> {
+        if !self.keys.is_in_force(key_id) {
+            return Err(Rejection::Unknown);
+        }
+        Arc::make_mut(&mut self.keys).withdraw(key_id);
+        Ok(())
+    }
+
+    fn claim(
+        &mut self,
+        offset: u64,
+        envelope: &Envelope,
+        lease: &Arc<str>,
+        replaces: u64,
+        lease_ms: u64,
+    ) -> Result<(), Rejection> {
+        let current = self.leases.get(lease);
+        if current.map_or(0, |entry| entry.claim) != replaces {
+            return Err(Rejection::Stale);
+        }
+        let renewed = current.filter(|entry| !entry.released && entry.is_held_by(envelope));
+        let fencing = renewed.map_or(offset, |entry| entry.fencing);
+        let entry = LeaseEntry {
+            holder: envelope.writer.clone(),
+            incarnation: envelope.incarnation,
+            fencing,
+            claim: offset,
+            lease_ms,
+            released: false,
+        };
+        self.leases.insert(lease.clone(), entry);
+        Ok(())
+    }
+
+    fn release(&mut self, lease: &str, claim: u64) -> Result<(), Rejection> {
+        match self.leases.get_mut(lease) {
+            Some(entry) if entry.claim == claim => {
+                entry.released = true;
+                Ok(())
+            }
+            _ => Err(Rejection::Stale),
+        }
+    }
+
+    /// Whether the writer held some lease under the term or renewal `claim`.
+    fn check_holder(&self, claim: u64, envelope: &Envelope) -> Result<(), Rejection> {
+        let held = self.leases.values().any(|entry| {
+            let in_term = (entry.fencing..=entry.claim).contains(&claim);
+            in_term && !entry.released && entry.is_held_by(envelope)
+        });
+        held.then_some(()).ok_or(Rejection::NotHolder)
+    }
+
+    fn change_endpoints(
+        &mut self,
+        claim: u64,
+        envelope: &Envelope,
+        changed: &[PlatformEndpoint],
+        gone: &[Arc<str>],
+    ) -> Result<(), Rejection> {
+        self.check_holder(claim, envelope)?;
+        let table = Arc::make_mut(&mut self.endpoints);
+        for endpoint in changed {
+            table.upsert(endpoint);
+        }
+        for endpoint in gone {
+            table.remove(endpoint);
+        }
+        Ok(())
+    }
+
+    fn intend(
+        &mut self,
+        offset: u64,
+        claim: u64,
+        envelope: &Envelope,
+        region: &Arc<str>,
+        action: &PlatformAction,
+    ) -> Result<(), Rejection> {
+        self.check_holder(claim, envelope)?;
+        let order = OpenOrder {
+            region: region.clone(),
+            claim,
+            action: action.clone(),
+        };
+        self.open_orders.insert(offset, order);
+        Ok(())
+    }
+
+    fn settle(&mut self, order: u64) -> Result<(), Rejection> {
+        let settled = self.open_orders.remove(&order);
+        settled.map(|_| ()).ok_or(Rejection::Unknown)
+    }
+
+    fn publish(&mut self, trainer: &Arc<str>, version: u64, bytes: u64) -> Result<(), Rejection> {
+        let newest = self
+            .versions
+            .get(trainer)
+            .map_or(0, |newest| newest.version);
+        if version <= newest {
+            return Err(Rejection::Stale);
+        }
+        let entry = NewestVersion { version, bytes };
+        Arc::make_mut(&mut self.versions).insert(trainer.clone(), entry);
+        Ok(())
+    }
+
+    fn count_usage(
+        &mut self,
+        sequence: u64,
+        of_instance: &Arc<str>,
+        of_incarnation: u64,
+        figures: &Figures,
+    ) -> Result<(), Rejection> {
+        let source = (of_instance.clone(), of_incarnation);
+        let last = self.usage_sequences.entry(source).or_default();
+        if sequence <= *last {
+            return Err(Rejection::Repeated);
+        }
+        *last = sequence;
+        for (organisation, counted) in figures {
+            let pending = self.pending_usage.entry(organisation.clone()).or_default();
+            pending.requests += counted.requests;
+            pending.tokens += counted.tokens;
+        }
+        Ok(())
+    }
+
+    fn close_window(
+        &mut self,
+        claim: u64,
+        envelope: &Envelope,
+        region: &Arc<str>,
+        window: u64,
+        covers: u64,
+        figures: &Figures,
+    ) -> Result<(), Rejection> {
+        self.check_holder(claim, envelope)?;
+        let usage = self.usage.entry(region.clone()).or_default();
+        if usage.next_window != window || covers > self.folded {
+            return Err(Rejection::Stale);
+        }
+        usage.next_window += 1;
+        usage.windows.retain(|_, closed| !closed.reported);
+        let closed = ClosedWindow {
+            figures: figures.clone(),
+            reported: false,
+        };
+        usage.windows.insert(window, closed);
+        subtract(&mut self.pending_usage, figures);
+        Ok(())
+    }
+
+    fn mark_reported(&mut self, region: &str, window: u64) -> Result<(), Rejection> {
+        let usage = self.usage.get_mut(region).ok_or(Rejection::Unknown)?;
+        let closed = usage.windows.get_mut(&window).ok_or(Rejection::Unknown)?;
+        closed.reported = true;
+        Ok(())
+    }
+}
+
+impl LeaseEntry {
+    fn is_held_by(&self, envelope: &Envelope) -> bool {
+        self.holder == envelope.writer && self.incarnation == envelope.incarnation
+    }
+}
+
+impl EndpointTable {
+    fn upsert(&mut self, listed: &PlatformEndpoint) {
+        let known = self.find(&listed.endpoint);
+        let key = known.unwrap_or(EndpointKey(self.next_key));
+        if known.is_none() {
+            self.next_key += 1;
+            let keys = self.by_service.entry(listed.service.clone()).or_default();
+            keys.push(key);
+        }
+        let endpoint = Endpoint {
+            key,
+            platform: listed.clone(),
+        };
+        self.endpoints.insert(key, endpoint);
+    }
+
+    fn remove(&mut self, endpoint: &str) {
+        let Some(key) = self.find(endpoint) else {
+            return;
+        };
+        self.endpoints.remove(&key);
+        for keys in self.by_service.values_mut() {
+            keys.retain(|&kept| kept != key);
+        }
+    }
+
+    /// Finds an endpoint's key by its id at the platform.
+    pub fn find(&self, endpoint: &str) -> Option<EndpointKey> {
+        self.endpoints
+            .values()
+            .find(|known| &*known.platform.endpoint == endpoint)
+            .map(|known| known.key)
+    }
+}
+
+/// Takes the figures of a closed window out of the pending ones.
+fn subtract(pending: &mut Figures, closed: &Figures) {
+    for (organisation, figures) in closed {
+        if let Some(left) = pending.get_mut(organisation) {
+            left.requests = left.requests.saturating_sub(figures.requests);
+            left.tokens = left.tokens.saturating_sub(figures.tokens);
+        }
+    }
+    pending.retain(|_, left| left.requests > 0 || left.tokens > 0);
+}
--- /dev/null
+++ b/flamingoscale/src/timeline.rs
@@ -0,0 +1,176 @@
+//! The time line: events of every process, ordered by hybrid logical clocks.
+//!
+//! Wall clocks differ between instances. A stamp that is merged at every message keeps an effect
+//! behind its cause all the same. See `docs/TIMELINE.md`.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        Mutex, //
+    }, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::clock::wall_ms;
+
+/// Events that an instance keeps.
+const KEPT_EVENTS: usize = 8_192;
+
+/// A hybrid logical time: never behind any stamp that this process has seen.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Stamp {
+    /// Wall-clock milliseconds, or more where a peer's clock is ahead.
+    pub wall_ms: u64,
+    /// Orders events within a millisecond.
+    pub count: u32,
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// When, in the order of cause and effect.
+    pub stamp: Stamp,
+    /// Numbers this process's events, for readers that follow.
+    pub serial: u64,
+    /// The instance, or the name of a stand-in.
+    pub process: Arc<str>,
+    /// What happened, as `part.verb`.
+    pub kind: Arc<str>,
+    /// The request or sample that this belongs to, if any.
+    pub trace: Arc<str>,
+    /// Details as name and value.
+    pub fields: Vec<(Arc<str>, String)>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    last: Stamp,
+    serial: u64,
+    events: VecDeque<Event>,
+}
+
+/// The events of one process, bounded in memory.
+#[derive(Clone, Debug)]
+pub struct Timeline {
+    process: Arc<str>,
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Timeline {
+    /// An empty time line of the process named `process`.
+    pub fn new(process: Arc<str>) -> Self {
+        Self {
+            process,
+            inner: Arc::default(),
+        }
+    }
+
+    /// Adds an event of this process.
+    pub fn record(&self, kind: &str, trace: &str, fields: &[(&str, &dyn std::fmt::Display)]) {
+        let fields = fields
+            .iter()
+            .map(|(name, value)| (Arc::from(*name), value.to_string()))
+            .collect();
+        let mut inner = self.lock();
+        let stamp = inner.tick(wall_ms());
+        inner.serial += 1;
+        let event = Event {
+            stamp,
+            serial: inner.serial,
+            process: self.process.clone(),
+            kind: kind.into(),
+            trace: trace.into(),
+            fields,
+        };
+        if inner.events.len() == KEPT_EVENTS {
+            inner.events.pop_front();
+        }
+        inner.events.push_back(event);
+    }
+
+    /// Returns a stamp to send along with a message.
+    pub fn stamp(&self) -> Stamp {
+        self.lock().tick(wall_ms())
+    }
+
+    /// Takes in the stamp of a received message.
+    pub fn merge(&self, seen: Stamp) {
+        let mut inner = self.lock();
+        inner.last = inner.last.max(seen);
+    }
+
+    /// Returns the kept events with a serial above `after`, oldest first.
+    pub fn events_after(&self, after: u64) -> Vec<Event> {
+        let inner = self.lock();
+        let kept = inner.events.iter();
+        kept.filter(|event| event.serial > after).cloned().collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
+        // A panic while holding this lock leaves plain data behind, which is safe to go on with.
+        self.inner
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+impl Inner {
+    fn tick(&mut self, wall_ms: u64) -> Stamp {
+        let next = Stamp { wall_ms, count: 0 };
+        self.last = if next > self.last {
+            next
+        } else {
+            Stamp {
+                wall_ms: self.last.wall_ms,
+                count: self.last.count + 1,
+            }
+        };
+        self.last
+    }
+}
+
+/// Merges the events of several processes into one line.
+pub fn merge(mut lines: Vec<Vec<Event>>) -> Vec<Event> {
+    let mut events: Vec<Event> = lines.drain(..).flatten().collect();
+    events.sort_by(|a, b| (a.stamp, &a.process, a.serial).cmp(&(b.stamp, &b.process, b.serial)));
+    events
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn effect_follows_cause_though_its_clock_is_behind() {
+        let ahead = Timeline::new("ahead".into());
+        let behind = Timeline::new("behind".into());
+        ahead.merge(Stamp {
+            wall_ms: u64::MAX / 2,
+            count: 0,
+        });
+        ahead.record("cause", "", &[]);
+        behind.merge(ahead.stamp());
+        behind.record("effect", "", &[]);
+        let line = merge(vec![behind.events_after(0), ahead.events_after(0)]);
+        assert_eq!(&*line[0].kind, "cause");
+        assert_eq!(&*line[1].kind, "effect");
+    }
+
+    #[test]
+    fn memory_is_bounded() {
+        let line = Timeline::new("one".into());
+        for _ in 0..KEPT_EVENTS + 10 {
+            line.record("tick", "", &[]);
+        }
+        let events = line.events_after(0);
+        assert_eq!(events.len(), KEPT_EVENTS);
+        assert_eq!(events[0].serial, 11);
+    }
+}
--- /dev/null
+++ b/flamingoscaled/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of one entry instance.
+
+fn main() {}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems that flamingoscale talks to.
