--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -29,9 +29,11 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod controller;
 pub mod dispatch;
 pub mod engine;
 pub mod gateway;
+pub mod home;
 pub mod instance;
 pub mod keys;
 pub mod log;
