Show operators the text and the lease holders in the view

Cause: the operators' face runs on traffic threads and reads the view only. Change: two fields of View that control fills in. Conclusion: no other reader uses them.

--- a/flamingoscale/src/view.rs
+++ b/flamingoscale/src/view.rs
@@ -100,8 +100,12 @@
     pub revision: u64,
     /// The log is folded up to this offset.
     pub folded: u64,
+    /// The questionnaire's text in force, for operators.
+    pub text: Arc<str>,
     /// The configuration in force.
     pub configuration: Arc<Configuration>,
+    /// Holders by lease, for operators; traffic decides nothing by it.
+    pub leases: Arc<BTreeMap<Arc<str>, Arc<str>>>,
     /// Keys by digest, withdrawals from peers included.
     pub keys: Arc<KeyTable>,
     /// Endpoints.
