Add JSON-lines logs, a mirror of the time line and a count of work in flight

Cause: a shutdown must wait for all work, and the daemon's log should say what the time line says. Change: WorkGuard on the shared instance; logging::install and mirror. Conclusion: the daemon uses them once its parts are there.

--- a/flamingoscale/src/instance.rs
+++ b/flamingoscale/src/instance.rs
@@ -4,6 +4,7 @@
     atomic::{
         AtomicBool,
         AtomicU64,
+        AtomicUsize,
         Ordering, //
     },
     Arc,
@@ -67,6 +68,18 @@
     dispatch: OnceLock<Arc<dyn Dispatch>>,
     draining: AtomicBool,
     next_request: AtomicU64,
+    in_flight: AtomicUsize,
+}
+
+/// Counts one piece of work as in flight until it is dropped, so that a shutdown waits for it.
+pub struct WorkGuard {
+    instance: Arc<Instance>,
+}
+
+impl Drop for WorkGuard {
+    fn drop(&mut self) {
+        self.instance.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 impl Instance {
@@ -86,6 +99,7 @@
             dispatch: OnceLock::new(),
             draining: AtomicBool::new(false),
             next_request: AtomicU64::new(1),
+            in_flight: AtomicUsize::new(0),
         }
     }
 
@@ -144,4 +158,17 @@
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
+
+    /// Counts one piece of work as in flight until the guard is dropped.
+    pub fn begin_work(self: &Arc<Self>) -> WorkGuard {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        WorkGuard {
+            instance: self.clone(),
+        }
+    }
+
+    /// Pieces of work in flight here, for callers, peers and trainers alike.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
 }
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod instance;
 pub mod keys;
 pub mod log;
+pub mod logging;
 pub mod membership;
 pub mod metrics;
 pub mod outcome;
--- /dev/null
+++ b/flamingoscale/src/logging.rs
@@ -0,0 +1,76 @@
+//! Logs: one JSON object a line on standard error.
+
+use std::sync::Arc;
+
+use derive_more::{
+    Display,
+    Error, //
+};
+use spdlog::{
+    formatter::JsonFormatter,
+    sink::StdStreamSink,
+    Level,
+    LevelFilter,
+    Logger, //
+};
+
+use crate::timeline::{
+    Event,
+    Timeline, //
+};
+
+/// The result of setting logs up.
+pub type Result<T> = std::result::Result<T, LoggingError>;
+
+/// Why logs can't be written.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("logs can't be set up ({reason}): check that standard error is open")]
+pub struct LoggingError {
+    /// What the library said.
+    pub reason: String,
+}
+
+/// Makes every log line of this process a JSON object on standard error.
+///
+/// # Errors
+///
+/// [`LoggingError`] when standard error can't be used.
+pub fn install(process: &str) -> Result<()> {
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .formatter(JsonFormatter::new())
+        .build_arc()
+        .map_err(logging_error)?;
+    let logger = Logger::builder()
+        .name(process)
+        .level_filter(LevelFilter::MoreSevereEqual(Level::Info))
+        .flush_level_filter(LevelFilter::All)
+        .sink(sink)
+        .build_arc()
+        .map_err(logging_error)?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+/// Writes every event of a time line to the log as well.
+pub fn mirror(timeline: &Timeline) {
+    timeline.set_mirror(Arc::new(log_event));
+}
+
+fn log_event(event: &Event) {
+    let fields: Vec<String> = event
+        .fields
+        .iter()
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    spdlog::info!("{} {}", event.kind, fields.join(" "), kv: {
+        trace = &*event.trace,
+        serial = event.serial,
+    });
+}
+
+fn logging_error(error: spdlog::Error) -> LoggingError {
+    LoggingError {
+        reason: error.to_string(),
+    }
+}
--- a/flamingoscale/src/timeline.rs
+++ b/flamingoscale/src/timeline.rs
@@ -7,7 +7,8 @@
     collections::VecDeque,
     sync::{
         Arc,
-        Mutex, //
+        Mutex,
+        OnceLock, //
     }, //
 };
 
@@ -56,11 +57,15 @@
     events: VecDeque<Event>,
 }
 
+/// Gets every event as it is recorded.
+pub type Mirror = Arc<dyn Fn(&Event) + Send + Sync>;
+
 /// The events of one process, bounded in memory.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Timeline {
     process: Arc<str>,
     inner: Arc<Mutex<Inner>>,
+    mirror: Arc<OnceLock<Mirror>>,
 }
 
 impl Timeline {
@@ -69,15 +74,28 @@
         Self {
             process,
             inner: Arc::default(),
+            mirror: Arc::default(),
         }
     }
 
+    /// Passes every event on as well, say to the log. Only the first call counts.
+    pub fn set_mirror(&self, mirror: Mirror) {
+        let _ = self.mirror.set(mirror);
+    }
+
     /// Adds an event of this process.
     pub fn record(&self, kind: &str, trace: &str, fields: &[(&str, &dyn std::fmt::Display)]) {
         let fields = fields
             .iter()
             .map(|(name, value)| (Arc::from(*name), value.to_string()))
             .collect();
+        let event = self.keep(kind, trace, fields);
+        if let Some(mirror) = self.mirror.get() {
+            mirror(&event);
+        }
+    }
+
+    fn keep(&self, kind: &str, trace: &str, fields: Vec<(Arc<str>, String)>) -> Event {
         let mut inner = self.lock();
         let stamp = inner.tick(wall_ms());
         inner.serial += 1;
@@ -92,7 +110,8 @@
         if inner.events.len() == KEPT_EVENTS {
             inner.events.pop_front();
         }
-        inner.events.push_back(event);
+        inner.events.push_back(event.clone());
+        event
     }
 
     /// Returns a stamp to send along with a message.
