--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,67 @@
 //! Experiments and load for flamingoscale.
+//!
+//! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
+//! standard output; the last line is a summary with its baseline's figures beside its own.
 
-fn main() {}
+mod output;
+mod report;
+mod timeline;
+
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// Measures flamingoscale against baselines in the same run.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Options {
+    /// Seeds every random choice of the run.
+    #[bpaf(long, argument("N"), fallback(1))]
+    seed: u64,
+    /// What to measure; `list` names all.
+    #[bpaf(positional("EXPERIMENT"))]
+    experiment: String,
+}
+
+/// One experiment.
+struct Experiment {
+    name: &'static str,
+    about: &'static str,
+    run: fn(u64),
+}
+
+const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "report",
+        about: "gathers docs/measurements/*.jsonl into a table and plots",
+        run: report::run,
+    },
+    Experiment {
+        name: "timeline",
+        about: "cost of recording an event",
+        run: timeline::run,
+    },
+];
+
+fn main() -> ExitCode {
+    let options = options().run();
+    if options.experiment == "list" {
+        for experiment in EXPERIMENTS {
+            println!("{:<14}{}", experiment.name, experiment.about);
+        }
+        return ExitCode::SUCCESS;
+    }
+    let wanted = EXPERIMENTS
+        .iter()
+        .find(|experiment| experiment.name == options.experiment);
+    let Some(experiment) = wanted else {
+        eprintln!(
+            "no experiment `{}`: see `flamingoscale-bench list`",
+            options.experiment
+        );
+        return ExitCode::from(2);
+    };
+    output::progress(experiment.name, "starting");
+    (experiment.run)(options.seed);
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/bench/src/report.rs
@@ -0,0 +1,183 @@
+//! Gathers the runs under `docs/measurements/` into one table and a plot for each experiment.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    fs,
+    io,
+    path::Path, //
+};
+
+use plotters::prelude::*;
+use serde_json::{
+    Map,
+    Value, //
+};
+
+use crate::output;
+
+/// Where runs are kept and the report is written.
+const MEASUREMENTS: &str = "docs/measurements";
+
+/// Size of a plot in pixels.
+const PLOT_SIZE: (u32, u32) = (760, 360);
+
+/// The last line of one run.
+struct Run {
+    experiment: String,
+    seed: u64,
+    summary: Map<String, Value>,
+    baseline: Map<String, Value>,
+}
+
+/// Writes `REPORT.md` and the plots.
+pub(crate) fn run(_seed: u64) {
+    match write_report(Path::new(MEASUREMENTS)) {
+        Ok(runs) => output::progress(
+            "report",
+            &format!("{runs} runs in {MEASUREMENTS}/REPORT.md"),
+        ),
+        Err(error) => output::progress(
+            "report",
+            &format!("failed ({error}): run it in the repository's root"),
+        ),
+    }
+}
+
+fn write_report(folder: &Path) -> io::Result<usize> {
+    let runs = read_runs(folder)?;
+    let mut page = String::from(
+        "# Measurements\n\nEach run is one `flamingoscale-bench EXPERIMENT --seed N`; own figures and \
+         baseline come from the same run. The lines of each run stand beside this page.\n",
+    );
+    for run in &runs {
+        write_run(&mut page, run);
+        plot(folder, run)?;
+    }
+    fs::write(folder.join("REPORT.md"), page)?;
+    Ok(runs.len())
+}
+
+fn read_runs(folder: &Path) -> io::Result<Vec<Run>> {
+    let mut runs = BTreeMap::new();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path
+            .extension()
+            .is_some_and(|extension| extension == "jsonl")
+        {
+            let text = fs::read_to_string(&path)?;
+            let run = text.lines().rev().find_map(read_summary);
+            runs.extend(run.map(|run| ((run.experiment.clone(), run.seed), run)));
+        }
+    }
+    Ok(runs.into_values().collect())
+}
+
+fn read_summary(line: &str) -> Option<Run> {
+    let value: Value = serde_json::from_str(line).ok()?;
+    Some(Run {
+        experiment: value.get("experiment")?.as_str()?.to_owned(),
+        seed: value.get("seed")?.as_u64()?,
+        summary: value.get("summary")?.as_object()?.clone(),
+        baseline: value.get("baseline")?.as_object()?.clone(),
+    })
+}
+
+fn write_run(page: &mut String, run: &Run) {
+    let (experiment, seed) = (&run.experiment, run.seed);
+    let _ = write!(
+        page,
+        "\n## {experiment}\n\n`flamingoscale-bench {experiment} --seed {seed}`\n\n\
+         | figure | measured | baseline |\n| --- | --- | --- |\n"
+    );
+    for name in figure_names(run) {
+        let (own, base) = (cell(run.summary.get(&name)), cell(run.baseline.get(&name)));
+        let _ = writeln!(page, "| {name} | {own} | {base} |");
+    }
+    if !pairs(run).is_empty() {
+        let _ = writeln!(page, "\n![{experiment}]({experiment}.svg)");
+    }
+}
+
+fn figure_names(run: &Run) -> Vec<String> {
+    let mut names: Vec<String> = run.summary.keys().cloned().collect();
+    let others = run.baseline.keys();
+    names.extend(
+        others
+            .filter(|name| !run.summary.contains_key(*name))
+            .cloned(),
+    );
+    names
+}
+
+fn cell(value: Option<&Value>) -> String {
+    match value {
+        None => String::from("–"),
+        Some(Value::Number(number)) => match number.as_f64() {
+            Some(float) if !number.is_u64() && !number.is_i64() => format!("{float:.3}"),
+            _ => number.to_string(),
+        },
+        Some(Value::String(text)) => text.clone(),
+        Some(other) => other.to_string(),
+    }
+}
+
+/// Figures that stand on both sides, as measured over baseline.
+fn pairs(run: &Run) -> Vec<(String, f64)> {
+    let figures = run.summary.iter();
+    figures
+        .filter_map(|(name, own)| {
+            let base = run.baseline.get(name)?.as_f64()?;
+            let ratio = own.as_f64()? / base;
+            ratio.is_finite().then(|| (name.clone(), ratio))
+        })
+        .collect()
+}
+
+fn plot(folder: &Path, run: &Run) -> io::Result<()> {
+    let pairs = pairs(run);
+    if pairs.is_empty() {
+        return Ok(());
+    }
+    let path = folder.join(format!("{}.svg", run.experiment));
+    draw(&path, run, &pairs).map_err(|error| io::Error::other(error.to_string()))
+}
+
+fn draw(path: &Path, run: &Run, pairs: &[(String, f64)]) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::new(path, PLOT_SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let largest = pairs.iter().map(|pair| pair.1).fold(1.0, f64::max);
+    let title = format!("{}: measured over baseline (1 = the same)", run.experiment);
+    let count = pairs.len();
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(34)
+        .y_label_area_size(210)
+        .build_cartesian_2d(0.0..largest * 1.1, (0..count).into_segmented())?;
+    chart
+        .configure_mesh()
+        .disable_y_mesh()
+        .y_labels(count)
+        .y_label_formatter(&|segment| label(segment, pairs))
+        .draw()?;
+    chart.draw_series(pairs.iter().enumerate().map(|(row, (_, ratio))| {
+        let corners = [
+            (0.0, SegmentValue::Exact(row)),
+            (*ratio, SegmentValue::Exact(row + 1)),
+        ];
+        let mut bar = Rectangle::new(corners, BLUE.mix(0.5).filled());
+        bar.set_margin(6, 6, 0, 0);
+        bar
+    }))?;
+    root.present()?;
+    Ok(())
+}
+
+fn label(segment: &SegmentValue<usize>, pairs: &[(String, f64)]) -> String {
+    match segment {
+        SegmentValue::CenterOf(row) => pairs.get(*row).map_or(String::new(), |pair| pair.0.clone()),
+        _ => String::new(),
+    }
+}
