Number entries from offset 1 and bound what the fold remembers

Revision, lease claim and order number use 0 for none, but the log's first offset is 0 as well: a second first configuration, or a second claim of a free lease, would have been accepted after one at offset 0.

Writers' serials, usage sequences and withdrawn keys grew for ever; they are now pruned by a rule that depends on the records alone. Endpoints are found by an index in place of a scan, and one whose service changes moves in the index of services. The view can be changed by field, so members and folded state don't undo each other.

--- a/flamingoscale/src/instance.rs
+++ b/flamingoscale/src/instance.rs
@@ -22,7 +22,10 @@
     state::SubmitError,
     timeline::Timeline,
     usage::UsageCounter,
-    view::SharedView,
+    view::{
+        Member,
+        SharedView, //
+    },
     wire::WithdrawnKey, //
 };
 
@@ -135,6 +138,12 @@
         self.dispatch.get()
     }
 
+    /// Puts the live members, this instance included, into the view, in order of id.
+    pub fn publish_members(&self, mut members: Vec<Member>) {
+        members.sort_by(|a, b| a.instance.cmp(&b.instance));
+        self.view.update(|view| view.members = Arc::new(members));
+    }
+
     /// Says that this instance is going away.
     pub fn start_draining(&self) {
         self.draining.store(true, Ordering::Release);
--- a/flamingoscale/src/keys.rs
+++ b/flamingoscale/src/keys.rs
@@ -1,7 +1,10 @@
 //! Callers' keys: kept as digests only, compared in constant time.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
     sync::Arc, //
 };
 
@@ -29,6 +32,9 @@
 /// Random bytes in a key's id.
 const ID_BYTES: usize = 6;
 
+/// Withdrawn keys that stay listed.
+const LISTED_WITHDRAWN_KEYS: usize = 4_096;
+
 /// SHA-256 of a key.
 pub type KeyDigest = [u8; 32];
 
@@ -49,7 +55,9 @@
 /// leaks nothing of the secret, and the digest is then compared in constant time.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyTable {
-    entries: HashMap<Arc<str>, KeyEntry>,
+    entries: BTreeMap<Arc<str>, KeyEntry>,
+    /// Ids of withdrawn keys, in the order of their withdrawal.
+    withdrawn: VecDeque<Arc<str>>,
 }
 
 impl KeyTable {
@@ -63,12 +71,25 @@
         match self.entries.get_mut(key_id) {
             Some(entry) if !entry.withdrawn => {
                 entry.withdrawn = true;
+                self.withdrawn.push_back(entry.key_id.clone());
+                self.forget_oldest();
                 true
             }
             _ => false,
         }
     }
 
+    /// Forgets the key that was withdrawn first once too many are listed; an unknown key is
+    /// refused just like a withdrawn one.
+    fn forget_oldest(&mut self) {
+        if self.withdrawn.len() <= LISTED_WITHDRAWN_KEYS {
+            return;
+        }
+        if let Some(oldest) = self.withdrawn.pop_front() {
+            self.entries.remove(&oldest);
+        }
+    }
+
     /// Returns the entry of a shown key, if it is in force.
     pub fn check(&self, shown: &str) -> Option<&KeyEntry> {
         let (key_id, _) = shown.split_once('.')?;
@@ -84,7 +105,7 @@
             .is_some_and(|entry| !entry.withdrawn)
     }
 
-    /// Lists all keys in no order.
+    /// Lists all keys in order of id.
     pub fn iter(&self) -> impl Iterator<Item = &KeyEntry> {
         self.entries.values()
     }
--- a/flamingoscale/src/record.rs
+++ b/flamingoscale/src/record.rs
@@ -200,6 +200,16 @@
     },
 }
 
+impl Record {
+    /// Whether the record's offset becomes the number of an entry, for which 0 stands for none.
+    pub(crate) fn is_numbered(&self) -> bool {
+        matches!(
+            self,
+            Record::Configuration { .. } | Record::LeaseClaim { .. } | Record::OrderIntent { .. }
+        )
+    }
+}
+
 /// Encodes one record for the log.
 ///
 /// # Errors
--- a/flamingoscale/src/state.rs
+++ b/flamingoscale/src/state.rs
@@ -30,8 +30,6 @@
     },
     usage::Figures,
     view::{
-        Endpoint,
-        EndpointKey,
         EndpointTable,
         NewestVersion, //
     },
@@ -41,6 +39,11 @@
     }, //
 };
 
+mod endpoints;
+mod sequences;
+
+pub use sequences::Sequences;
+
 /// Why a submitted record is not in force.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[non_exhaustive]
@@ -75,6 +78,12 @@
     /// It needs a lease that its writer does not hold.
     #[display("its writer does not hold the lease")]
     NotHolder,
+    /// Entries are numbered by their offset, and 0 stands for none.
+    #[display("the log's first offset can't number an entry: submit it again")]
+    Reserved,
+    /// It is too large for the log.
+    #[display("too large for one record: shorten it")]
+    TooLarge,
 }
 
 /// The lease for endpoint orders of a region.
@@ -156,12 +165,12 @@
     pub versions: Arc<BTreeMap<Arc<str>, NewestVersion>>,
     /// Counts that no window covers yet.
     pub pending_usage: Figures,
-    /// Last counts record of each incarnation: instance and incarnation to sequence.
-    pub usage_sequences: BTreeMap<(Arc<str>, u64), u64>,
+    /// The last counts record of each incarnation.
+    pub usage_sequences: Sequences,
     /// Windows by region.
     pub usage: BTreeMap<Arc<str>, RegionUsage>,
     /// The last serial folded of each writer's incarnation.
-    pub serials: BTreeMap<(Arc<str>, u64), u64>,
+    pub serials: Sequences,
 }
 
 impl State {
@@ -172,7 +181,10 @@
     /// The [`Rejection`] when the record has no effect; the state has moved past it all the same.
     pub fn fold(&mut self, offset: u64, envelope: &Envelope) -> Result<(), Rejection> {
         self.skip(offset);
-        self.check_serial(envelope)?;
+        self.check_serial(offset, envelope)?;
+        if offset == 0 && envelope.record.is_numbered() {
+            return Err(Rejection::Reserved);
+        }
         match &envelope.record {
             Record::Configuration {
                 base_revision,
@@ -230,14 +242,14 @@
         self.folded = offset + 1;
     }
 
-    fn check_serial(&mut self, envelope: &Envelope) -> Result<(), Rejection> {
-        let writer = (envelope.writer.clone(), envelope.incarnation);
-        let last = self.serials.entry(writer).or_default();
-        if envelope.serial <= *last {
-            return Err(Rejection::Repeated);
-        }
-        *last = envelope.serial;
-        Ok(())
+    /// Drops a submission that was folded before. A writer appends a serial only after, or in one
+    /// call with, all lower ones that it has not given up, so no other record is dropped.
+    fn check_serial(&mut self, offset: u64, envelope: &Envelope) -> Result<(), Rejection> {
+        let (writer, serial) = (&envelope.writer, envelope.serial);
+        let is_new = self
+            .serials
+            .advance(writer, envelope.incarnation, serial, offset);
+        is_new.then_some(()).ok_or(Rejection::Repeated)
     }
 
     fn configure(
@@ -386,12 +398,13 @@
         of_incarnation: u64,
         figures: &Figures,
     ) -> Result<(), Rejection> {
-        let source = (of_instance.clone(), of_incarnation);
-        let last = self.usage_sequences.entry(source).or_default();
-        if sequence <= *last {
+        let offset = self.folded - 1;
+        let is_new = self
+            .usage_sequences
+            .advance(of_instance, of_incarnation, sequence, offset);
+        if !is_new {
             return Err(Rejection::Repeated);
         }
-        *last = sequence;
         for (organisation, counted) in figures {
             let pending = self.pending_usage.entry(organisation.clone()).or_default();
             pending.requests += counted.requests;
@@ -439,41 +452,6 @@
     }
 }
 
-impl EndpointTable {
-    fn upsert(&mut self, listed: &PlatformEndpoint) {
-        let known = self.find(&listed.endpoint);
-        let key = known.unwrap_or(EndpointKey(self.next_key));
-        if known.is_none() {
-            self.next_key += 1;
-            let keys = self.by_service.entry(listed.service.clone()).or_default();
-            keys.push(key);
-        }
-        let endpoint = Endpoint {
-            key,
-            platform: listed.clone(),
-        };
-        self.endpoints.insert(key, endpoint);
-    }
-
-    fn remove(&mut self, endpoint: &str) {
-        let Some(key) = self.find(endpoint) else {
-            return;
-        };
-        self.endpoints.remove(&key);
-        for keys in self.by_service.values_mut() {
-            keys.retain(|&kept| kept != key);
-        }
-    }
-
-    /// Finds an endpoint's key by its id at the platform.
-    pub fn find(&self, endpoint: &str) -> Option<EndpointKey> {
-        self.endpoints
-            .values()
-            .find(|known| &*known.platform.endpoint == endpoint)
-            .map(|known| known.key)
-    }
-}
-
 /// Takes the figures of a closed window out of the pending ones.
 fn subtract(pending: &mut Figures, closed: &Figures) {
     for (organisation, figures) in closed {
--- /dev/null
+++ b/flamingoscale/src/state/endpoints.rs
@@ -0,0 +1,104 @@
+//! Changes of the endpoint table.
+
+use std::sync::Arc;
+
+use crate::{
+    view::{
+        Endpoint,
+        EndpointKey,
+        EndpointTable, //
+    },
+    wire::PlatformEndpoint, //
+};
+
+impl EndpointTable {
+    /// Adds an endpoint, or takes in what changed of a known one.
+    pub fn upsert(&mut self, listed: &PlatformEndpoint) {
+        let key = match self.find(&listed.endpoint) {
+            Some(key) => key,
+            None => self.new_key(&listed.endpoint),
+        };
+        let endpoint = Endpoint {
+            key,
+            platform: listed.clone(),
+        };
+        let before = self.endpoints.insert(key, endpoint);
+        let service_before = before.map(|before| before.platform.service);
+        if service_before.as_ref() == Some(&listed.service) {
+            return;
+        }
+        if let Some(service) = service_before {
+            self.leave_service(&service, key);
+        }
+        let keys = self.by_service.entry(listed.service.clone()).or_default();
+        keys.push(key);
+    }
+
+    /// Removes an endpoint that the platform no longer lists.
+    pub fn remove(&mut self, endpoint: &str) {
+        let Some(key) = self.by_id.remove(endpoint) else {
+            return;
+        };
+        if let Some(gone) = self.endpoints.remove(&key) {
+            self.leave_service(&gone.platform.service, key);
+        }
+    }
+
+    /// Finds an endpoint's key by its id at the platform.
+    pub fn find(&self, endpoint: &str) -> Option<EndpointKey> {
+        self.by_id.get(endpoint).copied()
+    }
+
+    fn new_key(&mut self, endpoint: &Arc<str>) -> EndpointKey {
+        let key = EndpointKey(self.next_key);
+        self.next_key += 1;
+        self.by_id.insert(endpoint.clone(), key);
+        key
+    }
+
+    fn leave_service(&mut self, service: &Arc<str>, key: EndpointKey) {
+        let Some(keys) = self.by_service.get_mut(service) else {
+            return;
+        };
+        keys.retain(|&kept| kept != key);
+        if keys.is_empty() {
+            self.by_service.remove(service);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listed(endpoint: &str, service: &str) -> PlatformEndpoint {
+        PlatformEndpoint {
+            endpoint: endpoint.into(),
+            service: service.into(),
+            failure_domain: "saiq".into(),
+            address: "127.0.0.1:1".into(),
+            tier: Default::default(),
+            phase: Default::default(),
+            order: 0,
+        }
+    }
+
+    #[test]
+    fn a_changed_service_moves_the_endpoint() {
+        let mut table = EndpointTable::default();
+        table.upsert(&listed("e1", "drafting"));
+        table.upsert(&listed("e1", "portal"));
+        assert!(!table.by_service.contains_key("drafting"));
+        assert_eq!(table.by_service["portal"], [EndpointKey(0)]);
+    }
+
+    #[test]
+    fn keys_are_never_used_twice() {
+        let mut table = EndpointTable::default();
+        table.upsert(&listed("e1", "drafting"));
+        table.remove("e1");
+        assert!(table.by_service.is_empty() && table.endpoints.is_empty());
+        table.upsert(&listed("e1", "drafting"));
+        assert_eq!(table.find("e1"), Some(EndpointKey(1)));
+    }
+}
--- a/flamingoscale/src/view.rs
+++ b/flamingoscale/src/view.rs
@@ -10,7 +10,8 @@
             AtomicU64,
             Ordering, //
         },
-        Arc, //
+        Arc,
+        Mutex, //
     }, //
 };
 
@@ -59,6 +60,8 @@
     pub endpoints: BTreeMap<EndpointKey, Endpoint>,
     /// Keys by service.
     pub by_service: BTreeMap<Arc<str>, Vec<EndpointKey>>,
+    /// Keys by the platform's id.
+    pub by_id: BTreeMap<Arc<str>, EndpointKey>,
     /// The key that the next new endpoint gets.
     pub next_key: u32,
 }
@@ -116,6 +119,8 @@
 #[derive(Debug, Default)]
 pub struct SharedView {
     current: ArcSwap<View>,
+    /// Held by writers only, so that two changes of different fields don't undo each other.
+    writers: Mutex<()>,
     fresh_until_ms: AtomicU64,
 }
 
@@ -130,6 +135,22 @@
         self.current.store(Arc::new(view));
     }
 
+    /// Puts a changed copy of the view in use. Copying is cheap: the tables are shared.
+    pub fn update(&self, change: impl FnOnce(&mut View)) {
+        let _only_writer = self
+            .writers
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut view = View::clone(&self.current.load());
+        change(&mut view);
+        self.store(view);
+    }
+
+    /// Until when keyed requests may be served on this view, by this instance's clock.
+    pub fn fresh_until_ms(&self) -> u64 {
+        self.fresh_until_ms.load(Ordering::Acquire)
+    }
+
     /// Says until when keyed requests may be served on this view, by this instance's clock.
     pub fn set_fresh_until(&self, until_ms: u64) {
         self.fresh_until_ms.store(until_ms, Ordering::Release);
