--- a/flamingoscale/src/state.rs
+++ b/flamingoscale/src/state.rs
@@ -206,7 +206,7 @@
                 trainer,
                 version,
                 bytes,
-            } => self.publish(trainer, *version, *bytes),
+            } => self.publish(offset, trainer, *version, *bytes),
             Record::UsageCounts {
                 sequence,
                 of_instance,
@@ -366,7 +366,13 @@
         settled.map(|_| ()).ok_or(Rejection::Unknown)
     }
 
-    fn publish(&mut self, trainer: &Arc<str>, version: u64, bytes: u64) -> Result<(), Rejection> {
+    fn publish(
+        &mut self,
+        offset: u64,
+        trainer: &Arc<str>,
+        version: u64,
+        bytes: u64,
+    ) -> Result<(), Rejection> {
         let newest = self
             .versions
             .get(trainer)
@@ -374,7 +380,11 @@
         if version <= newest {
             return Err(Rejection::Stale);
         }
-        let entry = NewestVersion { version, bytes };
+        let entry = NewestVersion {
+            version,
+            bytes,
+            offset,
+        };
         Arc::make_mut(&mut self.versions).insert(trainer.clone(), entry);
         Ok(())
     }
--- a/flamingoscale/src/view.rs
+++ b/flamingoscale/src/view.rs
@@ -91,6 +91,8 @@
     pub version: u64,
     /// Its size.
     pub bytes: u64,
+    /// The offset of the record that published it: grows with every version of every trainer.
+    pub offset: u64,
 }
 
 /// Everything that traffic needs to know of control state.
