--- a/flamingoscale/src/view.rs
+++ b/flamingoscale/src/view.rs
@@ -94,6 +94,8 @@
     pub version: u64,
     /// Its size.
     pub bytes: u64,
+    /// The offset of the record that published it: grows with every version of every trainer.
+    pub offset: u64,
 }
 
 /// Everything that traffic needs to know of control state.
@@ -103,8 +105,12 @@
     pub revision: u64,
     /// The log is folded up to this offset.
     pub folded: u64,
+    /// The questionnaire's text in force, for operators.
+    pub text: Arc<str>,
     /// The configuration in force.
     pub configuration: Arc<Configuration>,
+    /// Holders by lease, for operators; traffic decides nothing by it.
+    pub leases: Arc<BTreeMap<Arc<str>, Arc<str>>>,
     /// Keys by digest, withdrawals from peers included.
     pub keys: Arc<KeyTable>,
     /// Endpoints.
