--- a/flamingoscale/src/controller.rs
+++ b/flamingoscale/src/controller.rs
@@ -6,6 +6,10 @@
     sync::Arc, //
 };
 
+pub mod orders;
+pub(crate) mod tenure;
+pub mod usage;
+
 use crate::{
     instance::Instance,
     platform::{
--- /dev/null
+++ b/flamingoscale/src/controller/orders.rs
@@ -0,0 +1,283 @@
+//! Endpoint orders: one instance, the holder of a lease, keeps the fleet in shape.
+//!
+//! The holder copies the platform's list of endpoints into the log, so that all instances know
+//! it, and gives orders by [`protocol`]; what to order is decided by [`policy`]. See
+//! `docs/design/orders.md`.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix::{
+    Actor,
+    AsyncContext as _,
+    Context,
+    WrapFuture as _, //
+};
+
+pub mod policy;
+pub mod protocol;
+
+use self::{
+    policy::Policy,
+    protocol::{
+        Protocol,
+        Step, //
+    }, //
+};
+use super::{
+    tenure::Tenure,
+    ControlContext,
+    Controller, //
+};
+use crate::{
+    instance::Instance,
+    lease::Term,
+    platform::PlatformError,
+    record::Record,
+    state::{
+        orders_lease,
+        EVERYWHERE, //
+    },
+    wire::{
+        PlatformEndpoint,
+        PlatformOrder, //
+    }, //
+};
+
+/// Time between two looks at the platform's list.
+const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// An order that arrives later than this is dropped by the platform.
+const ORDER_VALID_MS: u64 = 2_000;
+
+/// How long an order of the last holder may still take effect, for certain: the time it is
+/// valid, once more for the receiver's clock, and a margin for one that ignores fencing numbers.
+const ORDER_GUARD_MS: u64 = 3 * ORDER_VALID_MS;
+
+/// Endpoints in one record.
+const ENDPOINTS_PER_RECORD: usize = 200;
+
+/// Looks after the endpoints that there are.
+pub struct OrdersController {
+    instance: Arc<Instance>,
+}
+
+impl OrdersController {
+    /// The controller of one instance.
+    pub fn new(instance: Arc<Instance>) -> Self {
+        Self { instance }
+    }
+}
+
+impl Controller for OrdersController {
+    fn name(&self) -> &'static str {
+        "orders"
+    }
+
+    fn start(self: Box<Self>, context: ControlContext) {
+        let lease = orders_lease(EVERYWHERE);
+        let seed = self.instance.incarnation;
+        let keeper = Keeper {
+            tenure: Tenure::new(lease, context.clone(), ORDER_GUARD_MS),
+            protocol: Protocol::new(ORDER_VALID_MS).into(),
+            policy: Policy::new(seed).into(),
+            context,
+            busy: false.into(),
+        };
+        OrdersActor {
+            keeper: Rc::new(keeper),
+        }
+        .start();
+    }
+}
+
+struct OrdersActor {
+    keeper: Rc<Keeper>,
+}
+
+impl Actor for OrdersActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        context.run_interval(LOOK_INTERVAL, Self::look);
+    }
+}
+
+impl OrdersActor {
+    fn look(&mut self, context: &mut Context<Self>) {
+        if self.keeper.busy.replace(true) {
+            return;
+        }
+        let keeper = self.keeper.clone();
+        let look = async move {
+            keeper.look().await;
+            keeper.busy.set(false);
+        };
+        context.spawn(look.into_actor(self));
+    }
+}
+
+/// What one look needs; borrows never cross an await.
+struct Keeper {
+    tenure: Tenure,
+    protocol: std::cell::RefCell<Protocol>,
+    policy: std::cell::RefCell<Policy>,
+    context: ControlContext,
+    busy: std::cell::Cell<bool>,
+}
+
+impl Keeper {
+    async fn look(&self) {
+        self.tenure.step().await;
+        let Some(term) = self.tenure.term() else {
+            self.protocol.borrow_mut().lost_lease();
+            return;
+        };
+        let orders = self.context.platform.orders.clone();
+        let Ok(listed) = orders.endpoints().await else {
+            self.context.instance.metrics.count("orders.platform_away");
+            return;
+        };
+        self.mirror(term, &listed).await;
+        let steps = self.decide(term, &listed);
+        let performed = steps.into_iter().map(|step| self.perform(step));
+        futures::future::join_all(performed).await;
+    }
+
+    /// Appends what changed at the platform since the fold last heard of it.
+    async fn mirror(&self, term: Term, listed: &[PlatformEndpoint]) {
+        for record in self.changes(term, listed) {
+            let _ = self.submit(record).await;
+        }
+    }
+
+    fn changes(&self, term: Term, listed: &[PlatformEndpoint]) -> Vec<Record> {
+        let state = self.context.state.borrow();
+        let known = &state.endpoints;
+        let is_new = |endpoint: &&PlatformEndpoint| {
+            let known = known.find(&endpoint.endpoint);
+            let known = known.and_then(|key| known_endpoint(&state, key));
+            known != Some(*endpoint)
+        };
+        let changed: Vec<PlatformEndpoint> = listed.iter().filter(is_new).cloned().collect();
+        let there: std::collections::HashSet<&str> =
+            listed.iter().map(|endpoint| &*endpoint.endpoint).collect();
+        let known = known.endpoints.values();
+        let gone: Vec<Arc<str>> = known
+            .map(|known| known.platform.endpoint.clone())
+            .filter(|endpoint| !there.contains(&**endpoint))
+            .collect();
+        let claim = term.claim;
+        let mut records: Vec<Record> = changed
+            .chunks(ENDPOINTS_PER_RECORD)
+            .map(|changed| Record::Endpoints {
+                claim,
+                changed: changed.to_vec(),
+                gone: Vec::new(),
+            })
+            .collect();
+        records.extend(
+            gone.chunks(ENDPOINTS_PER_RECORD)
+                .map(|gone| Record::Endpoints {
+                    claim,
+                    changed: Vec::new(),
+                    gone: gone.to_vec(),
+                }),
+        );
+        records
+    }
+
+    fn decide(&self, term: Term, listed: &[PlatformEndpoint]) -> Vec<Step> {
+        let now_ms = self.context.instance.now_ms();
+        let state = self.context.state.borrow();
+        let open = &state.open_orders;
+        let configuration = &state.configuration;
+        let mut policy = self.policy.borrow_mut();
+        let wanted = policy.decide(now_ms, configuration, listed, open);
+        let mut protocol = self.protocol.borrow_mut();
+        protocol.decide(term, open, listed, wanted)
+    }
+
+    async fn perform(&self, step: Step) {
+        match step {
+            Step::Intend(record) => {
+                if let Ok(order) = self.submit(record).await {
+                    self.send(order).await;
+                }
+            }
+            Step::Send(order) => self.send(order).await,
+            Step::Settle(record) => {
+                let _ = self.submit(record).await;
+            }
+        }
+    }
+
+    /// Sends one order, if at this last instant the lease is still held.
+    async fn send(&self, order: u64) {
+        let Some(order) = self.prepare(order) else {
+            return;
+        };
+        let orders = self.context.platform.orders.clone();
+        let number = order.order;
+        let result = orders.order(order).await;
+        let now_ms = self.context.instance.now_ms();
+        self.note(number, &result);
+        if let Err(PlatformError::Refused { .. }) = &result {
+            let state = self.context.state.borrow();
+            if let Some(open) = state.open_orders.get(&number) {
+                self.policy.borrow_mut().unavailable(now_ms, &open.action);
+            }
+        }
+        let Some(term) = self.tenure.term() else {
+            return;
+        };
+        let settled = {
+            let mut protocol = self.protocol.borrow_mut();
+            protocol.answered(term, number, &result)
+        };
+        if let Some(Step::Settle(record)) = settled {
+            let _ = self.submit(record).await;
+        }
+    }
+
+    fn prepare(&self, order: u64) -> Option<PlatformOrder> {
+        let state = self.context.state.borrow();
+        let open = state.open_orders.get(&order)?;
+        let sender = self.context.instance.id();
+        let term = self.tenure.term();
+        self.protocol
+            .borrow_mut()
+            .prepare(term, order, open, sender)
+    }
+
+    fn note(&self, order: u64, result: &Result<crate::wire::PlatformOrderDone, PlatformError>) {
+        let kind = match result {
+            Ok(_) => "orders.done",
+            Err(PlatformError::Fenced { .. }) => {
+                self.tenure.fenced();
+                "orders.fenced"
+            }
+            Err(PlatformError::Unknown { .. }) => "orders.answer_lost",
+            Err(_) => "orders.refused",
+        };
+        let instance = &self.context.instance;
+        instance.metrics.count(kind);
+        instance.timeline.record(kind, "", &[("order", &order)]);
+    }
+
+    async fn submit(&self, record: Record) -> Result<u64, ()> {
+        let control = self.context.instance.control().ok_or(())?;
+        control.submit(record).await.map_err(|_| ())
+    }
+}
+
+fn known_endpoint(
+    state: &crate::state::State,
+    key: crate::view::EndpointKey,
+) -> Option<&PlatformEndpoint> {
+    let known = state.endpoints.endpoints.get(&key)?;
+    Some(&known.platform)
+}
--- /dev/null
+++ b/flamingoscale/src/controller/usage.rs
@@ -0,0 +1,409 @@
+//! Usage: counts are copied to a second instance, appended, and reported once a window.
+//!
+//! Every instance brings its own counts into the log, and those of instances that died while it
+//! held their copies. The holder of one lease closes windows and reports them. See
+//! `docs/design/usage.md`.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix::{
+    Actor,
+    AsyncContext as _,
+    Context,
+    StreamHandler,
+    WrapFuture as _, //
+};
+use futures::channel::mpsc;
+use tokio::time::timeout;
+
+pub mod copies;
+pub mod counts;
+pub mod windows;
+
+use self::{
+    copies::Copies,
+    counts::{
+        Batch,
+        Counts, //
+    },
+    windows::Windows, //
+};
+use super::{
+    tenure::Tenure,
+    ControlContext,
+    Controller, //
+};
+use crate::{
+    instance::Instance,
+    peer::{
+        PeerHandler,
+        PeerReply,
+        PeerRequest,
+        ReplySender, //
+    },
+    platform::PlatformError,
+    record::Record,
+    state::{
+        usage_lease,
+        Rejection,
+        SubmitError,
+        EVERYWHERE, //
+    },
+    usage::{
+        Message,
+        Reply, //
+    },
+    view::Member, //
+};
+
+/// Time between two looks at what is to be done.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest wait for a second instance to take a copy.
+const COPY_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// A report is harmless whenever it arrives, so the next holder need not wait for it long.
+const REPORT_GUARD_MS: u64 = 1_000;
+
+/// A message of a peer on its way to the control thread.
+struct Incoming {
+    from: Arc<str>,
+    message: Message,
+    reply: ReplySender,
+}
+
+/// Looks after usage.
+pub struct UsageController {
+    instance: Arc<Instance>,
+    incoming: mpsc::UnboundedReceiver<Incoming>,
+}
+
+impl UsageController {
+    /// The controller, and the handler for [`PeerRequest::Usage`].
+    pub fn new(instance: Arc<Instance>) -> (Self, Arc<dyn PeerHandler>) {
+        let (sender, incoming) = mpsc::unbounded();
+        let controller = Self { instance, incoming };
+        (controller, Arc::new(Receiver { sender }))
+    }
+}
+
+impl Controller for UsageController {
+    fn name(&self) -> &'static str {
+        "usage"
+    }
+
+    fn start(self: Box<Self>, context: ControlContext) {
+        let lease = usage_lease(EVERYWHERE);
+        let instance = self.instance;
+        let keeper = Keeper {
+            tenure: Tenure::new(lease, context.clone(), REPORT_GUARD_MS),
+            counts: Counts::new(instance.id().clone(), instance.incarnation).into(),
+            copies: RefCell::default(),
+            windows: RefCell::default(),
+            counting: Cell::new(false),
+            reporting: Cell::new(false),
+            context,
+        };
+        let incoming = self.incoming;
+        UsageActor::create(|actor| {
+            actor.add_stream(incoming);
+            UsageActor {
+                keeper: Rc::new(keeper),
+            }
+        });
+    }
+}
+
+struct Receiver {
+    sender: mpsc::UnboundedSender<Incoming>,
+}
+
+impl PeerHandler for Receiver {
+    fn handle(&self, from: Arc<str>, request: PeerRequest, reply: ReplySender) {
+        if let PeerRequest::Usage(message) = request {
+            let incoming = Incoming {
+                from,
+                message,
+                reply,
+            };
+            // Once the control thread is gone, the dropped sender ends the stream.
+            let _ = self.sender.unbounded_send(incoming);
+        }
+    }
+}
+
+struct UsageActor {
+    keeper: Rc<Keeper>,
+}
+
+impl Actor for UsageActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        context.run_interval(LOOK_INTERVAL, Self::look);
+    }
+}
+
+impl StreamHandler<Incoming> for UsageActor {
+    fn handle(&mut self, incoming: Incoming, _: &mut Self::Context) {
+        let mut copies = self.keeper.copies.borrow_mut();
+        match incoming.message {
+            Message::Hold {
+                incarnation,
+                sequence,
+                figures,
+            } => copies.hold(incoming.from, incarnation, sequence, figures),
+            Message::Release {
+                incarnation,
+                sequence,
+            } => copies.release(&incoming.from, incarnation, sequence),
+        }
+        let _ = incoming.reply.try_send(PeerReply::Usage(Reply::Held));
+    }
+}
+
+impl UsageActor {
+    fn look(&mut self, context: &mut Context<Self>) {
+        let keeper = self.keeper.clone();
+        if !keeper.counting.replace(true) {
+            let count = async move {
+                keeper.count().await;
+                keeper.counting.set(false);
+            };
+            context.spawn(count.into_actor(self));
+        }
+        let keeper = self.keeper.clone();
+        if !keeper.reporting.replace(true) {
+            let report = async move {
+                keeper.report().await;
+                keeper.reporting.set(false);
+            };
+            context.spawn(report.into_actor(self));
+        }
+    }
+}
+
+/// What one look needs; borrows never cross an await.
+struct Keeper {
+    tenure: Tenure,
+    counts: RefCell<Counts>,
+    copies: RefCell<Copies>,
+    windows: RefCell<Windows>,
+    counting: Cell<bool>,
+    reporting: Cell<bool>,
+    context: ControlContext,
+}
+
+impl Keeper {
+    /// Brings this instance's counts, and those of the dead, into the log.
+    async fn count(&self) {
+        self.take();
+        self.copy().await;
+        self.append().await;
+        self.append_for_the_dead().await;
+    }
+
+    fn take(&self) {
+        let instance = &self.context.instance;
+        let now_ms = instance.now_ms();
+        let mut counts = self.counts.borrow_mut();
+        if instance.is_draining() || counts.is_due(now_ms) {
+            counts.take(now_ms, instance.usage.take());
+        }
+    }
+
+    /// Copies every batch that is not yet in the log to a second instance. One that holds a batch
+    /// holds all earlier ones, so it can append them in order.
+    async fn copy(&self) {
+        let second = self.second();
+        let batches = {
+            let mut counts = self.counts.borrow_mut();
+            counts.choose_second(second.as_ref());
+            counts.uncopied()
+        };
+        let Some(second) = second else {
+            return;
+        };
+        for batch in batches {
+            let message = Message::Hold {
+                incarnation: self.context.instance.incarnation,
+                sequence: batch.sequence,
+                figures: batch.figures.clone(),
+            };
+            if !self.tell(&second, message).await {
+                self.context.instance.metrics.count("usage.copy_failed");
+                self.counts.borrow_mut().copy_failed(&second);
+                return;
+            }
+            self.counts.borrow_mut().copied(&second, batch.sequence);
+        }
+    }
+
+    /// The live member that holds the copies: by a hash of both names, in another failure domain
+    /// where there is one, passing over those that failed to take one.
+    fn second(&self) -> Option<Member> {
+        let instance = &self.context.instance;
+        let view = instance.view.load();
+        self.counts
+            .borrow()
+            .second(&view.members, &instance.settings.failure_domain)
+            .cloned()
+    }
+
+    async fn append(&self) {
+        loop {
+            let Some(batch) = self.counts.borrow().next_to_append().cloned() else {
+                return;
+            };
+            let instance = &self.context.instance;
+            let (id, incarnation) = (instance.id().clone(), instance.incarnation);
+            if !self.submit_counts(&id, incarnation, &batch).await {
+                return;
+            }
+            let holders = self.counts.borrow_mut().settled(batch.sequence);
+            for holder in holders {
+                let message = Message::Release {
+                    incarnation,
+                    sequence: batch.sequence,
+                };
+                // A lost release is harmless: the holder sees the record in the fold.
+                self.tell(&holder, message).await;
+            }
+        }
+    }
+
+    async fn append_for_the_dead(&self) {
+        let due = {
+            let state = self.context.state.borrow();
+            let view = self.context.instance.view.load();
+            let now_ms = self.context.instance.now_ms();
+            let mut copies = self.copies.borrow_mut();
+            copies.drop_counted(&state.usage_sequences);
+            copies.due(now_ms, &view.members)
+        };
+        for (of_instance, of_incarnation, batch) in due {
+            if !self
+                .submit_counts(&of_instance, of_incarnation, &batch)
+                .await
+            {
+                return;
+            }
+            let instance = &self.context.instance;
+            instance.metrics.count("usage.counted_for_dead");
+            let fields: [(&str, &dyn std::fmt::Display); 2] =
+                [("of", &of_instance), ("sequence", &batch.sequence)];
+            instance
+                .timeline
+                .record("usage.counted_for_dead", "", &fields);
+            let mut copies = self.copies.borrow_mut();
+            copies.release(&of_instance, of_incarnation, batch.sequence);
+        }
+    }
+
+    /// Whether the batch is in the log for certain.
+    async fn submit_counts(&self, of: &Arc<str>, of_incarnation: u64, batch: &Batch) -> bool {
+        let record = Record::UsageCounts {
+            sequence: batch.sequence,
+            of_instance: of.clone(),
+            of_incarnation,
+            figures: batch.figures.clone(),
+        };
+        let repeated = SubmitError::Refused {
+            reason: Rejection::Repeated,
+        };
+        match self.submit(record).await {
+            Ok(_) => true,
+            Err(error) => error == repeated,
+        }
+    }
+
+    async fn tell(&self, member: &Member, message: Message) -> bool {
+        let Some(peers) = self.context.instance.peers() else {
+            return false;
+        };
+        let request = PeerRequest::Usage(message);
+        let stream = peers.open(&member.instance, &member.peer_address, request);
+        let answer = timeout(COPY_LIMIT, stream.single(&member.instance)).await;
+        matches!(answer, Ok(Ok(PeerReply::Usage(Reply::Held))))
+    }
+
+    async fn submit(&self, record: Record) -> Result<u64, SubmitError> {
+        match self.context.instance.control() {
+            Some(control) => control.submit(record).await,
+            None => Err(SubmitError::LogAway),
+        }
+    }
+
+    /// As the holder of the lease: closes windows that are over and reports closed ones.
+    async fn report(&self) {
+        self.tenure.step().await;
+        self.close_window().await;
+        let unreported = {
+            let state = self.context.state.borrow();
+            windows::unreported(&state)
+        };
+        for (region, window) in unreported {
+            self.report_window(region, window).await;
+        }
+    }
+
+    async fn close_window(&self) {
+        let now_ms = self.context.instance.now_ms();
+        let Some(term) = self.tenure.term() else {
+            self.windows.borrow_mut().lost_lease();
+            return;
+        };
+        let record = {
+            let state = self.context.state.borrow();
+            self.windows.borrow_mut().close(now_ms, term, &state)
+        };
+        let Some(record) = record else {
+            return;
+        };
+        if let Ok(offset) = self.submit(record).await {
+            let instance = &self.context.instance;
+            instance.metrics.count("usage.window_closed");
+            instance
+                .timeline
+                .record("usage.window_closed", "", &[("offset", &offset)]);
+        }
+    }
+
+    async fn report_window(&self, region: Arc<str>, window: u64) {
+        let report = {
+            let state = self.context.state.borrow();
+            let reporter = self.context.instance.id();
+            let term = self.tenure.term();
+            windows::report(term, &state, &region, window, reporter)
+        };
+        let Some(report) = report else {
+            return;
+        };
+        let usage = self.context.platform.usage.clone();
+        let result = usage.report(report).await;
+        let kind = match &result {
+            Ok(()) => "usage.reported",
+            Err(PlatformError::Fenced { .. }) => {
+                self.tenure.fenced();
+                "usage.fenced"
+            }
+            Err(_) => "usage.report_failed",
+        };
+        let instance = &self.context.instance;
+        instance.metrics.count(kind);
+        instance
+            .timeline
+            .record(kind, "", &[("region", &region), ("window", &window)]);
+        if result.is_ok() {
+            let _ = self.submit(Record::WindowReported { region, window }).await;
+        }
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/controller/usage/counts.rs
@@ -0,0 +1,173 @@
+//! This instance's own counts on their way into the log.
+
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    sync::Arc, //
+};
+
+use crate::{
+    usage::Figures,
+    view::Member, //
+};
+
+/// Time between two batches while the log takes them.
+const BATCH_INTERVAL_MS: u64 = 2_000;
+
+/// Batches that wait before the interval doubles; it doubles with each as many more.
+const BATCHES_PER_DOUBLING: usize = 4;
+
+/// The interval doubles at most this often, so that an hour without the log is a few dozen
+/// batches.
+const DOUBLINGS_LIMIT: usize = 6;
+
+/// Counts that are never changed again once they have a number.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// Counts one up.
+    pub sequence: u64,
+    /// Figures by organisation.
+    pub figures: Figures,
+}
+
+/// Batches of this instance that the log does not hold yet.
+#[derive(Clone, Debug)]
+pub struct Counts {
+    me: Arc<str>,
+    incarnation: u64,
+    batches: VecDeque<Batch>,
+    next_sequence: u64,
+    next_take_ms: u64,
+    /// The last sequence copied to each member that holds copies.
+    holders: BTreeMap<(Arc<str>, u64), (Member, u64)>,
+    second: Option<(Arc<str>, u64)>,
+    failed: Vec<(Arc<str>, u64)>,
+}
+
+impl Counts {
+    /// Nothing counted yet.
+    pub fn new(me: Arc<str>, incarnation: u64) -> Self {
+        Self {
+            me,
+            incarnation,
+            batches: VecDeque::new(),
+            next_sequence: 1,
+            next_take_ms: 0,
+            holders: BTreeMap::new(),
+            second: None,
+            failed: Vec::new(),
+        }
+    }
+
+    /// Whether the next batch is to be taken.
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        now_ms >= self.next_take_ms
+    }
+
+    /// Makes a batch of what was counted since the last one.
+    pub fn take(&mut self, now_ms: u64, figures: Figures) {
+        let doublings = (self.batches.len() / BATCHES_PER_DOUBLING).min(DOUBLINGS_LIMIT);
+        self.next_take_ms = now_ms + (BATCH_INTERVAL_MS << doublings);
+        if figures.is_empty() {
+            return;
+        }
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.batches.push_back(Batch { sequence, figures });
+    }
+
+    /// Chooses who should hold the copies. A member stays chosen while it is there.
+    pub fn second<'members>(
+        &self,
+        members: &'members [Member],
+        failure_domain: &str,
+    ) -> Option<&'members Member> {
+        let fit = |member: &&Member| {
+            member.instance != self.me && !member.leaving && !self.failed.contains(&id(member))
+        };
+        let chosen = members.iter().filter(fit);
+        chosen.max_by_key(|member| {
+            let apart = *member.failure_domain != *failure_domain;
+            let stays = self.second.as_ref() == Some(&id(member));
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(
+                member.instance.as_bytes(),
+                xxhash_rust::xxh3::xxh3_64(self.me.as_bytes()),
+            );
+            (!member.suspect, apart, stays, hash)
+        })
+    }
+
+    /// Takes the choice in. Without a choice those that failed are tried again.
+    pub fn choose_second(&mut self, second: Option<&Member>) {
+        self.second = second.map(id);
+        match second {
+            Some(member) => {
+                self.holders
+                    .entry(id(member))
+                    .or_insert_with(|| (member.clone(), 0));
+            }
+            None => self.failed.clear(),
+        }
+    }
+
+    /// The batches that the chosen member does not hold, in order.
+    pub fn uncopied(&self) -> Vec<Batch> {
+        let Some((_, copied)) = self.second.as_ref().and_then(|id| self.holders.get(id)) else {
+            return Vec::new();
+        };
+        let batches = self.batches.iter();
+        batches
+            .filter(|batch| batch.sequence > *copied)
+            .cloned()
+            .collect()
+    }
+
+    /// The member holds this batch.
+    pub fn copied(&mut self, member: &Member, sequence: u64) {
+        if let Some((_, copied)) = self.holders.get_mut(&id(member)) {
+            *copied = sequence;
+        }
+        self.failed.clear();
+    }
+
+    /// The member did not take a copy: another is to be chosen.
+    pub fn copy_failed(&mut self, member: &Member) {
+        self.failed.push(id(member));
+    }
+
+    /// The first batch, if it may be appended: the log is safer than any copy, so a batch without
+    /// a copy goes too.
+    pub fn next_to_append(&self) -> Option<&Batch> {
+        self.batches.front()
+    }
+
+    /// The log holds the batches up to this one. Returns who held copies of it.
+    pub fn settled(&mut self, sequence: u64) -> Vec<Member> {
+        self.batches.retain(|batch| batch.sequence > sequence);
+        let holding = self.holders.values();
+        let holding: Vec<Member> = holding
+            .filter(|(_, copied)| *copied >= sequence)
+            .map(|(member, _)| member.clone())
+            .collect();
+        let second = self.second.clone();
+        self.holders
+            .retain(|id, (_, copied)| *copied > sequence || second.as_ref() == Some(id));
+        holding
+    }
+
+    /// Batches that wait.
+    pub fn waiting(&self) -> usize {
+        self.batches.len()
+    }
+
+    /// Whose counts these are.
+    pub fn source(&self) -> (&Arc<str>, u64) {
+        (&self.me, self.incarnation)
+    }
+}
+
+fn id(member: &Member) -> (Arc<str>, u64) {
+    (member.instance.clone(), member.incarnation)
+}
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod home;
 pub mod instance;
 pub mod keys;
+pub mod lease;
 pub mod log;
 pub mod logging;
 pub mod membership;
--- a/flamingoscale/src/membership.rs
+++ b/flamingoscale/src/membership.rs
@@ -1,4 +1,6 @@
 //! Who is alive: probes between peers, suspicion, refutation, leaving.
+//!
+//! Membership never decides who is in charge; leases do. See `docs/design/membership.md`.
 
 use std::sync::Arc;
 
@@ -7,6 +9,20 @@
     Serialize, //
 };
 
+mod actor;
+mod core;
+mod gossip;
+
+pub use self::{
+    actor::MembershipController,
+    core::{
+        Action,
+        Membership,
+        ProbeId,
+        Timing, //
+    }, //
+};
+
 use crate::view::Member;
 
 /// What peers tell each other of members.
@@ -34,6 +50,13 @@
     },
     /// The member that was to be probed did not answer.
     NoAnswer,
+    /// Here is all that I know; tell me what you know.
+    Exchange {
+        /// The sender itself.
+        sender: Member,
+        /// Every member that the sender knows.
+        members: Vec<Update>,
+    },
 }
 
 /// How a member stands.
@@ -62,3 +85,6 @@
 
 /// Names the instance for logs.
 pub type InstanceId = Arc<str>;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/flamingoscale/src/membership/actor.rs
@@ -0,0 +1,269 @@
+//! Carries events into the core and its actions out, on the control thread.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix::{
+    Actor,
+    AsyncContext as _,
+    Context,
+    StreamHandler,
+    WrapFuture as _, //
+};
+use futures::channel::mpsc;
+use rand::RngExt as _;
+use tokio::time::timeout;
+
+use super::{
+    Action,
+    Membership,
+    Message,
+    ProbeId,
+    Timing, //
+};
+use crate::{
+    controller::{
+        ControlContext,
+        Controller, //
+    },
+    instance::Instance,
+    peer::{
+        PeerHandler,
+        PeerReply,
+        PeerRequest,
+        ReplySender, //
+    },
+    view::Member, //
+};
+
+/// Time between two looks at the core.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time between two looks at the platform's list.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Longest wait for any answer of a peer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Longest wait for the answer to a probe in another's stead.
+const INDIRECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// A message of a peer on its way to the control thread.
+struct Incoming {
+    message: Message,
+    reply: ReplySender,
+}
+
+/// Looks after the list of members.
+pub struct MembershipController {
+    instance: Arc<Instance>,
+    incoming: mpsc::UnboundedReceiver<Incoming>,
+}
+
+impl MembershipController {
+    /// The controller, and the handler for [`PeerRequest::Membership`].
+    pub fn new(instance: Arc<Instance>) -> (Self, Arc<dyn PeerHandler>) {
+        let (sender, incoming) = mpsc::unbounded();
+        let controller = Self { instance, incoming };
+        (controller, Arc::new(Receiver { sender }))
+    }
+}
+
+impl Controller for MembershipController {
+    fn name(&self) -> &'static str {
+        "membership"
+    }
+
+    fn start(self: Box<Self>, context: ControlContext) {
+        let core = Membership::new(
+            own_member(&self.instance),
+            Timing::default(),
+            rand::rng().random(),
+        );
+        let incoming = self.incoming;
+        MembershipActor::create(|actor| {
+            actor.add_stream(incoming);
+            MembershipActor { core, context }
+        });
+    }
+}
+
+struct Receiver {
+    sender: mpsc::UnboundedSender<Incoming>,
+}
+
+impl PeerHandler for Receiver {
+    fn handle(&self, _from: Arc<str>, request: PeerRequest, reply: ReplySender) {
+        if let PeerRequest::Membership(message) = request {
+            // Once the control thread is gone, the dropped sender ends the stream.
+            let _ = self.sender.unbounded_send(Incoming { message, reply });
+        }
+    }
+}
+
+fn own_member(instance: &Instance) -> Member {
+    Member {
+        instance: instance.id().clone(),
+        incarnation: instance.incarnation,
+        failure_domain: instance.settings.failure_domain.clone(),
+        address: instance.settings.address.to_string().into(),
+        peer_address: instance.settings.peer_address.to_string().into(),
+        leaving: instance.is_draining(),
+        suspect: false,
+        revision: instance.view.load().revision,
+    }
+}
+
+struct MembershipActor {
+    core: Membership,
+    context: ControlContext,
+}
+
+impl Actor for MembershipActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        self.hint_seeds();
+        self.tick(context);
+        context.run_interval(TICK, Self::tick);
+        self.list(context);
+        context.run_interval(LIST_INTERVAL, Self::list);
+    }
+}
+
+impl StreamHandler<Incoming> for MembershipActor {
+    fn handle(&mut self, incoming: Incoming, context: &mut Self::Context) {
+        if let Message::ProbeFor { target } = incoming.message {
+            return self.probe_for(target, incoming.reply, context);
+        }
+        let now_ms = self.context.instance.now_ms();
+        let (answer, actions) = self.core.receive(now_ms, incoming.message);
+        if let Some(answer) = answer {
+            let _ = incoming.reply.try_send(PeerReply::Membership(answer));
+        }
+        self.perform(actions, context);
+    }
+}
+
+impl MembershipActor {
+    fn hint_seeds(&mut self) {
+        for seed in &self.context.instance.settings.seeds {
+            self.core.hint(&"".into(), &seed.to_string().into());
+        }
+    }
+
+    fn tick(&mut self, context: &mut Context<Self>) {
+        let instance = &self.context.instance;
+        self.core.set_revision(instance.view.load().revision);
+        if instance.is_draining() {
+            self.core.leave();
+        }
+        let actions = self.core.tick(instance.now_ms());
+        self.perform(actions, context);
+    }
+
+    /// Reads the platform's list, which only ever adds somebody to probe.
+    fn list(&mut self, context: &mut Context<Self>) {
+        if self.core.members().len() == 1 {
+            self.hint_seeds();
+        }
+        let instances = self.context.platform.instances.clone();
+        let listed = async move { instances.list().await };
+        let listed = actix::fut::wrap_future::<_, Self>(listed);
+        let hinted = actix::ActorFutureExt::map(listed, |listed, actor: &mut Self, _| {
+            for row in listed.unwrap_or_default() {
+                if !row.leaving {
+                    actor.core.hint(&row.instance, &row.peer_address);
+                }
+            }
+        });
+        context.spawn(hinted);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>, context: &mut Context<Self>) {
+        for action in actions {
+            match action {
+                Action::Send {
+                    probe,
+                    instance,
+                    peer_address,
+                    message,
+                } => self.send(probe, &instance, &peer_address, message, context),
+                Action::Publish(members) => self.context.instance.publish_members(members),
+                Action::Changed { instance, health } => {
+                    let health = format!("{health:?}").to_lowercase();
+                    let kind = format!("membership.{health}");
+                    let shared = &self.context.instance;
+                    shared.metrics.count(&kind);
+                    shared.timeline.record(&kind, "", &[("member", &instance)]);
+                }
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        probe: ProbeId,
+        peer: &Arc<str>,
+        peer_address: &Arc<str>,
+        message: Message,
+        context: &mut Context<Self>,
+    ) {
+        let call = ask(
+            &self.context.instance,
+            peer,
+            peer_address,
+            message,
+            ANSWER_LIMIT,
+        );
+        let call = call.into_actor(self);
+        let answered =
+            actix::ActorFutureExt::map(call, move |answer, actor: &mut Self, context| {
+                let now_ms = actor.context.instance.now_ms();
+                let actions = actor.core.answered(now_ms, probe, answer);
+                actor.perform(actions, context);
+            });
+        context.spawn(answered);
+    }
+
+    /// Probes a member for another and passes its answer on.
+    fn probe_for(&mut self, target: Member, reply: ReplySender, context: &mut Context<Self>) {
+        let message = self.core.probe_message();
+        let call = ask(
+            &self.context.instance,
+            &target.instance,
+            &target.peer_address,
+            message,
+            INDIRECT_LIMIT,
+        );
+        let forwarded = async move {
+            let answer = call.await.unwrap_or(Message::NoAnswer);
+            let _ = reply.try_send(PeerReply::Membership(answer));
+        };
+        context.spawn(forwarded.into_actor(self));
+    }
+}
+
+/// Sends one message and returns its answer, or nothing if none came in time.
+fn ask(
+    instance: &Instance,
+    peer: &Arc<str>,
+    peer_address: &Arc<str>,
+    message: Message,
+    limit: Duration,
+) -> impl std::future::Future<Output = Option<Message>> + 'static {
+    let request = PeerRequest::Membership(message);
+    let peer = peer.clone();
+    let stream = instance
+        .peers()
+        .map(|peers| peers.open(&peer, peer_address, request));
+    async move {
+        let answer = timeout(limit, stream?.single(&peer)).await;
+        match answer {
+            Ok(Ok(PeerReply::Membership(answer))) => Some(answer),
+            _ => None,
+        }
+    }
+}
--- a/flamingoscale/src/peer.rs
+++ b/flamingoscale/src/peer.rs
@@ -15,6 +15,18 @@
 };
 use tokio::sync::mpsc;
 
+mod frame;
+mod keepalive;
+mod pool;
+mod server;
+mod tls;
+
+pub use self::{
+    pool::PeerPool,
+    server::serve,
+    tls::TlsError, //
+};
+
 use crate::{
     dispatch,
     gateway,
@@ -31,6 +43,15 @@
 /// Replies that wait in one stream before its sender is held back.
 const STREAM_REPLIES: usize = 32;
 
+/// Bytes of one stream that may be under way.
+const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+
+/// Bytes of one connection that may be under way.
+const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+
+/// Names the instance that a request is for.
+const TO_HEADER: &str = "flamingoscale-to";
+
 /// Why a call to a peer failed, told apart by what may be concluded of the request.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[non_exhaustive]
@@ -157,3 +178,78 @@
     /// Failures come as the first item of the stream.
     fn open(&self, peer: &Arc<str>, peer_address: &Arc<str>, request: PeerRequest) -> PeerStream;
 }
+
+/// The handlers of a peer's requests, one a kind.
+#[derive(Clone, Default)]
+pub struct PeerRouter {
+    membership: Option<Arc<dyn PeerHandler>>,
+    log: Option<Arc<dyn PeerHandler>>,
+    dispatch: Option<Arc<dyn PeerHandler>>,
+    gateway: Option<Arc<dyn PeerHandler>>,
+    rollout: Option<Arc<dyn PeerHandler>>,
+    usage: Option<Arc<dyn PeerHandler>>,
+}
+
+impl PeerRouter {
+    /// Sets the handler of [`PeerRequest::Membership`].
+    pub fn membership(mut self, handler: Arc<dyn PeerHandler>) -> Self {
+        self.membership = Some(handler);
+        self
+    }
+
+    /// Sets the handler of [`PeerRequest::Log`].
+    pub fn log(mut self, handler: Arc<dyn PeerHandler>) -> Self {
+        self.log = Some(handler);
+        self
+    }
+
+    /// Sets the handler of [`PeerRequest::Dispatch`].
+    pub fn dispatch(mut self, handler: Arc<dyn PeerHandler>) -> Self {
+        self.dispatch = Some(handler);
+        self
+    }
+
+    /// Sets the handler of [`PeerRequest::Gateway`].
+    pub fn gateway(mut self, handler: Arc<dyn PeerHandler>) -> Self {
+        self.gateway = Some(handler);
+        self
+    }
+
+    /// Sets the handler of [`PeerRequest::Rollout`].
+    pub fn rollout(mut self, handler: Arc<dyn PeerHandler>) -> Self {
+        self.rollout = Some(handler);
+        self
+    }
+
+    /// Sets the handler of [`PeerRequest::Usage`].
+    pub fn usage(mut self, handler: Arc<dyn PeerHandler>) -> Self {
+        self.usage = Some(handler);
+        self
+    }
+
+    /// The handler of a request; none if this instance has none for its kind.
+    fn handler(&self, request: &PeerRequest) -> Option<&Arc<dyn PeerHandler>> {
+        let handler = match request {
+            PeerRequest::Membership(_) => &self.membership,
+            PeerRequest::Log(_) => &self.log,
+            PeerRequest::Dispatch(_) => &self.dispatch,
+            PeerRequest::Gateway(_) => &self.gateway,
+            PeerRequest::Rollout(_) => &self.rollout,
+            PeerRequest::Usage(_) => &self.usage,
+        };
+        handler.as_ref()
+    }
+}
+
+/// Checks the files for TLS at the start, before anything depends on them.
+///
+/// # Errors
+///
+/// Any [`TlsError`]; its message names the file and the remedy.
+pub fn check_tls(settings: &crate::settings::Settings) -> std::result::Result<(), TlsError> {
+    let files = settings.peer_tls.as_ref();
+    files.map_or(Ok(()), |files| tls::load(files).map(|_| ()))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/flamingoscale/src/peer/pool.rs
@@ -0,0 +1,451 @@
+//! The calling end: connections that are shared by all calls to one address.
+//!
+//! All connections live on one thread of their own, so a call may come from any thread and a
+//! busy caller can't make a healthy connection look silent.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        Weak, //
+    },
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use futures::{
+    future::{
+        LocalBoxFuture,
+        Shared, //
+    },
+    FutureExt as _, //
+};
+use h2::{
+    client::SendRequest,
+    Reason,
+    RecvStream, //
+};
+use http::{
+    Request,
+    StatusCode, //
+};
+use rustls::pki_types::{
+    CertificateDer,
+    ServerName, //
+};
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    net::TcpStream,
+    sync::mpsc,
+    task::LocalSet,
+    time::timeout, //
+};
+use tokio_rustls::TlsConnector;
+
+use super::{
+    frame::{
+        self,
+        FrameError,
+        FrameReader, //
+    },
+    keepalive::{
+        until_silent,
+        Activity, //
+    },
+    tls,
+    Frame,
+    PeerError,
+    PeerReply,
+    PeerRequest,
+    PeerStream,
+    Peers,
+    CONNECTION_WINDOW_BYTES,
+    STREAM_WINDOW_BYTES,
+    TO_HEADER, //
+};
+use crate::instance::Instance;
+
+/// Longest time to connect, TLS included.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// A connection without streams for this long is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(900);
+
+/// Name of the thread that the connections live on.
+const THREAD_NAME: &str = "peers";
+
+/// Calls to other instances over shared connections.
+pub struct PeerPool {
+    calls: mpsc::UnboundedSender<Call>,
+}
+
+/// One call on its way to the connections' thread.
+struct Call {
+    peer: Arc<str>,
+    address: Arc<str>,
+    request: PeerRequest,
+    replies: mpsc::Sender<super::Result<PeerReply>>,
+}
+
+impl PeerPool {
+    /// Starts the thread of the connections; it ends when the pool is dropped.
+    ///
+    /// When TLS can't be set up or the thread can't start, every call answers
+    /// [`PeerError::NotSent`].
+    pub fn new(instance: Arc<Instance>) -> Arc<Self> {
+        let (calls, receiver) = mpsc::unbounded_channel();
+        let instance = Arc::downgrade(&instance);
+        let thread = std::thread::Builder::new().name(THREAD_NAME.into());
+        // A thread that does not start drops the receiver, and calls answer `NotSent`.
+        let _ = thread.spawn(move || drive(instance, receiver));
+        Arc::new(Self { calls })
+    }
+}
+
+impl Peers for PeerPool {
+    fn open(&self, peer: &Arc<str>, peer_address: &Arc<str>, request: PeerRequest) -> PeerStream {
+        let (replies, stream) = PeerStream::channel();
+        let call = Call {
+            peer: peer.clone(),
+            address: peer_address.clone(),
+            request,
+            replies,
+        };
+        if let Err(refused) = self.calls.send(call) {
+            let call = refused.0;
+            let error = not_sent(&call.peer, "the connections' thread has ended");
+            let _ = call.replies.try_send(Err(error));
+        }
+        stream
+    }
+}
+
+fn not_sent(peer: &Arc<str>, reason: impl Into<Arc<str>>) -> PeerError {
+    PeerError::NotSent {
+        peer: peer.clone(),
+        reason: reason.into(),
+    }
+}
+
+fn lost(peer: &Arc<str>, reason: impl Into<Arc<str>>) -> PeerError {
+    PeerError::Lost {
+        peer: peer.clone(),
+        reason: reason.into(),
+    }
+}
+
+/// Runs on the connections' thread until the pool is dropped.
+fn drive(instance: Weak<Instance>, mut calls: mpsc::UnboundedReceiver<Call>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let Ok(runtime) = runtime else {
+        return;
+    };
+    LocalSet::new().block_on(&runtime, async move {
+        let connections = Connections::new(instance);
+        while let Some(call) = calls.recv().await {
+            tokio::task::spawn_local(connections.clone().call(call));
+        }
+    });
+}
+
+/// Connecting to an address, or connected.
+type Connecting = Shared<LocalBoxFuture<'static, Result<Live, Arc<str>>>>;
+
+/// One connection in use.
+#[derive(Clone)]
+struct Live {
+    requests: SendRequest<Bytes>,
+    activity: Activity,
+    certificate: Option<Arc<CertificateDer<'static>>>,
+    dropping: Rc<tokio::sync::Notify>,
+}
+
+#[derive(Clone)]
+struct Connections {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    instance: Weak<Instance>,
+    tls: Option<Result<TlsConnector, Arc<str>>>,
+    by_address: RefCell<HashMap<Arc<str>, (u64, Connecting)>>,
+    next_id: std::cell::Cell<u64>,
+}
+
+impl Connections {
+    fn new(instance: Weak<Instance>) -> Self {
+        let files = instance
+            .upgrade()
+            .and_then(|instance| instance.settings.peer_tls.clone());
+        let tls = files.map(|files| match tls::load(&files) {
+            Ok(configs) => Ok(TlsConnector::from(configs.client)),
+            Err(error) => Err(Arc::from(error.to_string())),
+        });
+        let inner = Inner {
+            instance,
+            tls,
+            by_address: RefCell::default(),
+            next_id: std::cell::Cell::new(0),
+        };
+        Self {
+            inner: Rc::new(inner),
+        }
+    }
+
+    /// Makes one call. Giving up on it, by dropping the stream of replies, resets its stream.
+    async fn call(self, call: Call) {
+        let replies = call.replies.clone();
+        tokio::select! {
+            result = self.exchange(&call) => {
+                if let Err(error) = result {
+                    let _ = replies.send(Err(error)).await;
+                }
+            }
+            () = replies.closed() => {}
+        }
+    }
+
+    async fn exchange(&self, call: &Call) -> super::Result<()> {
+        let peer = &call.peer;
+        let live = self.connection(&call.address).await;
+        let live = live.map_err(|reason| not_sent(peer, reason))?;
+        if let Some(certificate) = &live.certificate {
+            if !peer.is_empty() && !tls::names(certificate, peer) {
+                return Err(not_sent(peer, "its certificate names another instance"));
+            }
+        }
+        let _open = live.activity.open();
+        let body = self.send(call, &live).await?;
+        self.receive(call, &live, body).await
+    }
+
+    /// Sends the request and waits for the head of the answer.
+    async fn send(&self, call: &Call, live: &Live) -> super::Result<RecvStream> {
+        let peer = &call.peer;
+        let bytes = self.encode(call)?;
+        let ready = live.requests.clone().ready().await;
+        let mut requests = ready.map_err(|error| not_sent(peer, error.to_string()))?;
+        let mut request = Request::new(());
+        *request.method_mut() = http::Method::POST;
+        *request.uri_mut() = http::Uri::from_static("http://peer/");
+        if !peer.is_empty() {
+            let to = http::HeaderValue::from_str(peer);
+            let to = to.map_err(|_| not_sent(peer, "its name can't be sent"))?;
+            request.headers_mut().insert(TO_HEADER, to);
+        }
+        let sent = requests.send_request(request, false);
+        let (response, mut body) = sent.map_err(|error| not_sent(peer, error.to_string()))?;
+        // Before its last byte is handed over, the request can't be whole at the peer.
+        let sent = body.send_data(bytes, true);
+        sent.map_err(|error| not_sent(peer, error.to_string()))?;
+        let response = response.await.map_err(|error| self.failed(peer, &error))?;
+        match response.status() {
+            StatusCode::OK => Ok(response.into_body()),
+            StatusCode::MISDIRECTED_REQUEST => {
+                Err(not_sent(peer, "another instance has its address"))
+            }
+            status => Err(not_sent(peer, format!("refused with status {status}"))),
+        }
+    }
+
+    fn encode(&self, call: &Call) -> super::Result<Bytes> {
+        let instance = self.inner.instance.upgrade();
+        let instance = instance.ok_or_else(|| not_sent(&call.peer, "shutting down"))?;
+        let frame = Frame {
+            stamp: instance.timeline.stamp(),
+            from: instance.id().clone(),
+            body: &call.request,
+        };
+        frame::encode(&frame).map_err(|error| not_sent(&call.peer, error.to_string()))
+    }
+
+    /// A stream that the peer refused by its protocol was not processed; anything else may be.
+    fn failed(&self, peer: &Arc<str>, error: &h2::Error) -> PeerError {
+        if error.is_reset() && error.reason() == Some(Reason::REFUSED_STREAM) {
+            return not_sent(peer, error.to_string());
+        }
+        lost(peer, error.to_string())
+    }
+
+    async fn receive(&self, call: &Call, live: &Live, body: RecvStream) -> super::Result<()> {
+        let peer = &call.peer;
+        let mut reader = FrameReader::new(body);
+        loop {
+            let frame = match reader.next::<Frame<PeerReply>>().await {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return Ok(()),
+                Err(FrameError::Broken(error)) => return Err(self.failed(peer, &error)),
+                Err(_) => return Err(self.garbage(call, live)),
+            };
+            if !is_from(&frame, peer, live) {
+                return Err(self.garbage(call, live));
+            }
+            if let Some(instance) = self.inner.instance.upgrade() {
+                instance.timeline.merge(frame.stamp);
+            }
+            if call.replies.send(Ok(frame.body)).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn garbage(&self, call: &Call, live: &Live) -> PeerError {
+        if let Some(instance) = self.inner.instance.upgrade() {
+            instance.metrics.count("peer.garbage");
+        }
+        live.dropping.notify_one();
+        PeerError::Garbage {
+            peer: call.peer.clone(),
+        }
+    }
+
+    async fn connection(&self, address: &Arc<str>) -> Result<Live, Arc<str>> {
+        let known = self
+            .inner
+            .by_address
+            .borrow()
+            .get(address)
+            .map(|(_, connecting)| connecting.clone());
+        let connecting = known.unwrap_or_else(|| self.start(address));
+        connecting.await
+    }
+
+    fn start(&self, address: &Arc<str>) -> Connecting {
+        let id = self.inner.next_id.get();
+        self.inner.next_id.set(id + 1);
+        let connecting = self
+            .clone()
+            .connect(id, address.clone())
+            .boxed_local()
+            .shared();
+        // Driven on its own, so that it ends though all who wait for it give up.
+        tokio::task::spawn_local(connecting.clone());
+        let mut by_address = self.inner.by_address.borrow_mut();
+        by_address.insert(address.clone(), (id, connecting.clone()));
+        connecting
+    }
+
+    fn forget(&self, id: u64, address: &Arc<str>) {
+        let mut by_address = self.inner.by_address.borrow_mut();
+        if by_address.get(address).is_some_and(|known| known.0 == id) {
+            by_address.remove(address);
+        }
+    }
+
+    async fn connect(self, id: u64, address: Arc<str>) -> Result<Live, Arc<str>> {
+        let result = timeout(CONNECT_LIMIT, self.establish(id, &address)).await;
+        let result = result.unwrap_or_else(|_| Err("no connection in time".into()));
+        if result.is_err() {
+            self.forget(id, &address);
+        }
+        result
+    }
+
+    async fn establish(&self, id: u64, address: &Arc<str>) -> Result<Live, Arc<str>> {
+        let socket_address: SocketAddr = address
+            .parse()
+            .map_err(|_| "its address is no IP number and port")?;
+        let socket = TcpStream::connect(socket_address).await.map_err(reason)?;
+        socket.set_nodelay(true).map_err(reason)?;
+        let connector = match &self.inner.tls {
+            None if socket_address.ip().is_loopback() => {
+                return self.handshake(id, address, socket, None).await;
+            }
+            None => return Err("plain peers are for loopback only".into()),
+            Some(connector) => connector.as_ref().map_err(Clone::clone)?,
+        };
+        let name = ServerName::IpAddress(socket_address.ip().into());
+        let secured = connector.connect(name, socket).await.map_err(reason)?;
+        let certificates = secured.get_ref().1.peer_certificates();
+        let certificate = certificates.and_then(|chain| chain.first());
+        let certificate = certificate.map(|leaf| Arc::new(leaf.clone().into_owned()));
+        if certificate.is_none() {
+            return Err("it shows no certificate".into());
+        }
+        self.handshake(id, address, secured, certificate).await
+    }
+
+    async fn handshake<T>(
+        &self,
+        id: u64,
+        address: &Arc<str>,
+        socket: T,
+        certificate: Option<Arc<CertificateDer<'static>>>,
+    ) -> Result<Live, Arc<str>>
+    where
+        T: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
+        let mut builder = h2::client::Builder::new();
+        builder
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .enable_push(false);
+        let (requests, mut connection) = builder.handshake(socket).await.map_err(reason)?;
+        let pings = connection.ping_pong().ok_or("it can't be pinged")?;
+        let live = Live {
+            requests,
+            activity: Activity::default(),
+            certificate,
+            dropping: Rc::default(),
+        };
+        let (activity, dropping) = (live.activity.clone(), live.dropping.clone());
+        let (connections, address) = (self.clone(), address.clone());
+        tokio::task::spawn_local(async move {
+            let silent = tokio::select! {
+                _ = connection => false,
+                () = until_silent(pings, activity.clone()) => true,
+                () = dropping.notified() => false,
+                () = until_idle(activity.clone()) => false,
+            };
+            connections.forget(id, &address);
+            if silent {
+                connections.replace_silent(&address, activity.count());
+            }
+        });
+        Ok(live)
+    }
+
+    /// A silent connection took its streams with it; those who try again find a new one under way.
+    fn replace_silent(&self, address: &Arc<str>, streams: usize) {
+        if let Some(instance) = self.inner.instance.upgrade() {
+            instance.metrics.count("peer.silent");
+            let fields: [(&str, &dyn std::fmt::Display); 2] =
+                [("address", address), ("streams", &streams)];
+            instance
+                .timeline
+                .record("peer.connection_silent", "", &fields);
+        }
+        if !self.inner.by_address.borrow().contains_key(address) {
+            drop(self.start(address));
+        }
+    }
+}
+
+fn reason(error: impl ToString) -> Arc<str> {
+    error.to_string().into()
+}
+
+/// Returns once the connection has had no stream for the whole of two looks in a row.
+async fn until_idle(activity: Activity) {
+    loop {
+        tokio::time::sleep(IDLE_LIMIT).await;
+        if activity.take_opened() == 0 && activity.count() == 0 {
+            return;
+        }
+    }
+}
+
+/// Whether a reply comes from the peer that was asked, as its certificate proves.
+fn is_from(frame: &Frame<PeerReply>, peer: &str, live: &Live) -> bool {
+    let expected = peer.is_empty() || *frame.from == *peer;
+    let proven = |certificate: &Arc<_>| tls::names(certificate, &frame.from);
+    expected && live.certificate.as_ref().is_none_or(proven)
+}
--- /dev/null
+++ b/flamingoscale/src/peer/server.rs
@@ -0,0 +1,262 @@
+//! The accepting end: one task a connection, one a stream.
+
+use std::{
+    future::poll_fn,
+    io,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use h2::{
+    server::SendResponse,
+    Reason,
+    RecvStream,
+    SendStream, //
+};
+use http::{
+    Request,
+    Response,
+    StatusCode, //
+};
+use rustls::pki_types::CertificateDer;
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite, //
+    },
+    net::TcpStream,
+    sync::{
+        mpsc,
+        Notify, //
+    },
+    time::timeout, //
+};
+use tokio_rustls::TlsAcceptor;
+
+use super::{
+    frame::{
+        self,
+        FrameError,
+        FrameReader, //
+    },
+    keepalive::{
+        until_silent,
+        Activity,
+        OpenStream, //
+    },
+    tls,
+    Frame,
+    PeerReply,
+    PeerRequest,
+    PeerRouter,
+    CONNECTION_WINDOW_BYTES,
+    STREAM_REPLIES,
+    STREAM_WINDOW_BYTES,
+    TO_HEADER, //
+};
+use crate::instance::Instance;
+
+/// Longest time for a handshake, and for a request to arrive whole.
+const ARRIVAL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Pause after a failed accept, so that a lack of descriptors is no busy loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Most streams that one peer may have open.
+const STREAM_LIMIT: u32 = 4_096;
+
+/// Accepts peers for ever on the calling thread, which must run local tasks (an actix arbiter).
+///
+/// # Errors
+///
+/// When the listener can't be used, or the files for TLS can't be read.
+pub async fn serve(
+    instance: Arc<Instance>,
+    listener: std::net::TcpListener,
+    router: PeerRouter,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let acceptor = match &instance.settings.peer_tls {
+        Some(files) => {
+            let configs = tls::load(files).map_err(io::Error::other)?;
+            Some(TlsAcceptor::from(configs.server))
+        }
+        None => None,
+    };
+    let router = Arc::new(router);
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let connection = accept(instance.clone(), router.clone(), acceptor.clone(), socket);
+                tokio::task::spawn_local(connection);
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn accept(
+    instance: Arc<Instance>,
+    router: Arc<PeerRouter>,
+    acceptor: Option<TlsAcceptor>,
+    socket: TcpStream,
+) {
+    let _ = socket.set_nodelay(true);
+    let Some(acceptor) = acceptor else {
+        return run(instance, router, socket, None).await;
+    };
+    match timeout(ARRIVAL_LIMIT, acceptor.accept(socket)).await {
+        Ok(Ok(secured)) => {
+            let certificates = secured.get_ref().1.peer_certificates();
+            let certificate = certificates.and_then(|chain| chain.first());
+            let certificate = certificate.map(|leaf| Arc::new(leaf.clone().into_owned()));
+            run(instance, router, secured, certificate).await;
+        }
+        _ => instance.metrics.count("peer.handshake_failed"),
+    }
+}
+
+/// What all streams of one connection share.
+#[derive(Clone)]
+struct Shared {
+    instance: Arc<Instance>,
+    router: Arc<PeerRouter>,
+    certificate: Option<Arc<CertificateDer<'static>>>,
+    garbage: Arc<Notify>,
+}
+
+async fn run<T>(
+    instance: Arc<Instance>,
+    router: Arc<PeerRouter>,
+    socket: T,
+    certificate: Option<Arc<CertificateDer<'static>>>,
+) where
+    T: AsyncRead + AsyncWrite + Unpin,
+{
+    let mut builder = h2::server::Builder::new();
+    builder
+        .initial_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_concurrent_streams(STREAM_LIMIT);
+    let Ok(Ok(mut connection)) = timeout(ARRIVAL_LIMIT, builder.handshake(socket)).await else {
+        instance.metrics.count("peer.handshake_failed");
+        return;
+    };
+    let Some(pings) = connection.ping_pong() else {
+        return;
+    };
+    let activity = Activity::default();
+    let garbage = Arc::new(Notify::new());
+    let shared = Shared {
+        instance: instance.clone(),
+        router,
+        certificate,
+        garbage: garbage.clone(),
+    };
+    let accepting = async {
+        while let Some(Ok((request, respond))) = connection.accept().await {
+            let stream = stream(shared.clone(), request, respond, activity.open());
+            tokio::task::spawn_local(stream);
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = until_silent(pings, activity.clone()) => instance.metrics.count("peer.silent"),
+        () = garbage.notified() => instance.metrics.count("peer.garbage"),
+    }
+}
+
+async fn stream(
+    shared: Shared,
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    _open: OpenStream,
+) {
+    if !is_addressed_to(&request, shared.instance.id()) {
+        refuse(&mut respond, StatusCode::MISDIRECTED_REQUEST);
+        return;
+    }
+    let mut reader = FrameReader::new(request.into_body());
+    let frame = match timeout(ARRIVAL_LIMIT, reader.next::<Frame<PeerRequest>>()).await {
+        Ok(Ok(Some(frame))) => frame,
+        Ok(Ok(None) | Err(FrameError::Garbage | FrameError::TooLarge)) => {
+            return shared.garbage.notify_one();
+        }
+        Ok(Err(FrameError::Broken(_))) | Err(_) => {
+            return respond.send_reset(Reason::CANCEL);
+        }
+    };
+    if let Some(certificate) = &shared.certificate {
+        if !tls::names(certificate, &frame.from) {
+            return shared.garbage.notify_one();
+        }
+    }
+    let Some(handler) = shared.router.handler(&frame.body) else {
+        return refuse(&mut respond, StatusCode::NOT_IMPLEMENTED);
+    };
+    shared.instance.timeline.merge(frame.stamp);
+    let Ok(send) = respond.send_response(Response::new(()), false) else {
+        return;
+    };
+    let (sender, receiver) = mpsc::channel(STREAM_REPLIES);
+    handler.handle(frame.from, frame.body, sender);
+    answer(&shared.instance, send, receiver).await;
+}
+
+/// An address may have changed hands; a request for another instance must not run here.
+fn is_addressed_to(request: &Request<RecvStream>, instance: &str) -> bool {
+    let wanted = request.headers().get(TO_HEADER);
+    wanted.is_none_or(|wanted| wanted.as_bytes() == instance.as_bytes())
+}
+
+fn refuse(respond: &mut SendResponse<Bytes>, status: StatusCode) {
+    let mut response = Response::new(());
+    *response.status_mut() = status;
+    // A peer that is gone needs no answer.
+    let _ = respond.send_response(response, true);
+}
+
+/// Sends replies until the handler drops its end or the peer resets the stream. Returning drops
+/// the receiver, which is how the handler sees that nobody waits any more.
+async fn answer(
+    instance: &Instance,
+    mut send: SendStream<Bytes>,
+    mut receiver: mpsc::Receiver<PeerReply>,
+) {
+    loop {
+        let reply = tokio::select! {
+            reply = receiver.recv() => reply,
+            _ = poll_fn(|context| send.poll_reset(context)) => return,
+        };
+        let Some(body) = reply else {
+            let _ = send.send_data(Bytes::new(), true);
+            return;
+        };
+        let frame = Frame {
+            stamp: instance.timeline.stamp(),
+            from: instance.id().clone(),
+            body,
+        };
+        let Ok(bytes) = frame::encode(&frame) else {
+            instance.metrics.count("peer.reply_too_large");
+            return send.send_reset(Reason::INTERNAL_ERROR);
+        };
+        if send_all(&mut send, bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Sends as fast as the peer takes it.
+async fn send_all(send: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), h2::Error> {
+    while !bytes.is_empty() {
+        send.reserve_capacity(bytes.len());
+        let granted = poll_fn(|context| send.poll_capacity(context)).await;
+        let granted = granted.unwrap_or(Err(Reason::CANCEL.into()))?;
+        let part = bytes.split_to(granted.min(bytes.len()));
+        send.send_data(part, false)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/flamingoscale/src/peer/tests.rs
@@ -0,0 +1,359 @@
+use std::{
+    io::Write as _,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    time::Duration, //
+};
+
+use tokio::{
+    io::{
+        AsyncReadExt as _,
+        AsyncWriteExt as _, //
+    },
+    sync::mpsc,
+    task::LocalSet,
+    time::timeout, //
+};
+
+use super::*;
+use crate::{
+    clock::BootClock,
+    instance::Instance,
+    settings::{
+        PeerTls,
+        SettingsBuilder, //
+    }, //
+};
+
+/// Long enough for a busy machine; nothing waits this long when it works.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Passes each request on, with the end for its replies.
+struct Passing(mpsc::UnboundedSender<(Arc<str>, ReplySender)>);
+
+impl PeerHandler for Passing {
+    fn handle(&self, from: Arc<str>, _request: PeerRequest, reply: ReplySender) {
+        self.0.send((from, reply)).expect("the test waits");
+    }
+}
+
+type Requests = mpsc::UnboundedReceiver<(Arc<str>, ReplySender)>;
+
+fn instance(name: &str, tls: Option<PeerTls>) -> Arc<Instance> {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut settings = SettingsBuilder::new(name, "saiq", nowhere, nowhere);
+    if let Some(tls) = tls {
+        settings = settings.peer_tls(tls);
+    }
+    Arc::new(Instance::new(settings.build(), 1, Arc::new(BootClock)))
+}
+
+/// Serves `instance` on a port of the kernel's choice, on the calling thread.
+fn start(instance: &Arc<Instance>) -> (Arc<str>, Requests) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has ports");
+    let address = listener.local_addr().expect("it is bound");
+    let (sender, requests) = mpsc::unbounded_channel();
+    let router = PeerRouter::default().usage(Arc::new(Passing(sender)));
+    let serving = serve(instance.clone(), listener, router);
+    tokio::task::spawn_local(async move {
+        let _ = serving.await;
+    });
+    (address.to_string().into(), requests)
+}
+
+fn run<F: std::future::Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can start");
+    LocalSet::new().block_on(&runtime, async {
+        timeout(WAIT, test).await.expect("the test ends in time")
+    })
+}
+
+fn request() -> PeerRequest {
+    PeerRequest::Usage(usage::Message::Release {
+        incarnation: 1,
+        sequence: 1,
+    })
+}
+
+fn reply() -> PeerReply {
+    PeerReply::Usage(usage::Reply::Held)
+}
+
+#[test]
+fn a_request_gets_its_replies_and_stamps_are_merged() {
+    run(async {
+        let (server, client) = (instance("b", None), instance("a", None));
+        let (address, mut requests) = start(&server);
+        let ahead = Stamp {
+            wall_ms: u64::MAX / 2,
+            count: 0,
+        };
+        server.timeline.merge(ahead);
+        let pool = PeerPool::new(client.clone());
+        let mut stream = pool.open(&"b".into(), &address, request());
+        let (from, sender) = requests.recv().await.expect("the request arrives");
+        assert_eq!(&*from, "a");
+        for _ in 0..3 * STREAM_REPLIES {
+            sender.send(reply()).await.expect("the client reads");
+            assert_eq!(stream.next().await, Some(Ok(reply())));
+        }
+        drop(sender);
+        assert_eq!(stream.next().await, None);
+        assert!(client.timeline.stamp() > ahead);
+    });
+}
+
+#[test]
+fn giving_up_on_a_stream_is_seen_by_the_handler() {
+    run(async {
+        let (server, client) = (instance("b", None), instance("a", None));
+        let (address, mut requests) = start(&server);
+        let pool = PeerPool::new(client.clone());
+        let stream = pool.open(&"b".into(), &address, request());
+        let (_, sender) = requests.recv().await.expect("the request arrives");
+        drop(stream);
+        sender.closed().await;
+    });
+}
+
+#[test]
+fn an_unreachable_peer_is_not_sent_and_a_dead_handler_is_lost() {
+    run(async {
+        let (server, client) = (instance("b", None), instance("a", None));
+        let pool = PeerPool::new(client.clone());
+        let free = TcpListener::bind("127.0.0.1:0").expect("loopback has ports");
+        let nobody: Arc<str> = free.local_addr().expect("it is bound").to_string().into();
+        drop(free);
+        let peer: Arc<str> = "b".into();
+        let result = pool.open(&peer, &nobody, request()).single(&peer).await;
+        assert!(matches!(result, Err(PeerError::NotSent { .. })));
+
+        let (address, mut requests) = start(&server);
+        let stream = pool.open(&peer, &address, request());
+        drop(requests.recv().await);
+        let result = stream.single(&peer).await;
+        assert!(matches!(result, Err(PeerError::Lost { .. })));
+    });
+}
+
+#[test]
+fn a_request_for_another_instance_does_not_run() {
+    run(async {
+        let (server, client) = (instance("b", None), instance("a", None));
+        let (address, mut requests) = start(&server);
+        let pool = PeerPool::new(client.clone());
+        let peer: Arc<str> = "c".into();
+        let result = pool.open(&peer, &address, request()).single(&peer).await;
+        assert!(matches!(result, Err(PeerError::NotSent { .. })));
+        assert!(requests.try_recv().is_err());
+    });
+}
+
+#[test]
+fn garbage_drops_the_connection_and_is_counted() {
+    run(async {
+        let server = instance("b", None);
+        let (address, mut requests) = start(&server);
+        let socket = tokio::net::TcpStream::connect(&*address)
+            .await
+            .expect("the server listens");
+        let (requests_end, connection) = h2::client::handshake(socket).await.expect("it is h2");
+        let connection = tokio::task::spawn_local(connection);
+        let mut requests_end = requests_end.ready().await.expect("it is open");
+        let call = http::Request::post("http://peer/").body(()).expect("valid");
+        let (_, mut body) = requests_end.send_request(call, false).expect("it is open");
+        body.send_data(bytes::Bytes::from_static(&[0, 0, 0, 2, 9, 9]), true)
+            .expect("it is open");
+        let _ = connection.await;
+        assert_eq!(server.metrics.counted("peer.garbage"), 1);
+        assert!(requests.try_recv().is_err());
+    });
+}
+
+#[test]
+fn bytes_that_are_no_h2_are_counted_and_others_go_on() {
+    run(async {
+        let (server, client) = (instance("b", None), instance("a", None));
+        let (address, mut requests) = start(&server);
+        let mut socket = tokio::net::TcpStream::connect(&*address)
+            .await
+            .expect("the server listens");
+        socket.write_all(&[7; 64]).await.expect("it is open");
+        let mut rest = Vec::new();
+        let _ = socket.read_to_end(&mut rest).await;
+        assert_eq!(server.metrics.counted("peer.handshake_failed"), 1);
+        let pool = PeerPool::new(client.clone());
+        let _stream = pool.open(&"b".into(), &address, request());
+        assert!(requests.recv().await.is_some());
+    });
+}
+
+/// Carries bytes both ways until it is told to swallow them, as a box in the network does that
+/// lost track of a connection.
+async fn relay(listener: tokio::net::TcpListener, to: Arc<str>, silent: Arc<tokio::sync::Notify>) {
+    let mut first = true;
+    while let Ok((mut near, _)) = listener.accept().await {
+        let mut far = tokio::net::TcpStream::connect(&*to)
+            .await
+            .expect("the server listens");
+        let silent = first.then(|| silent.clone());
+        first = false;
+        tokio::task::spawn_local(async move {
+            let Some(silent) = silent else {
+                let _ = tokio::io::copy_bidirectional(&mut near, &mut far).await;
+                return;
+            };
+            tokio::select! {
+                _ = tokio::io::copy_bidirectional(&mut near, &mut far) => {}
+                () = silent.notified() => {}
+            }
+            // Both ends stay open and hear nothing.
+            tokio::time::sleep(2 * WAIT).await;
+            drop((near, far));
+        });
+    }
+}
+
+#[test]
+fn a_silent_connection_goes_with_all_that_shared_it_and_a_new_one_works() {
+    run(async {
+        let (server, client) = (instance("b", None), instance("a", None));
+        let (address, mut requests) = start(&server);
+        let between = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback has ports");
+        let relayed: Arc<str> = between
+            .local_addr()
+            .expect("it is bound")
+            .to_string()
+            .into();
+        let silent = Arc::new(tokio::sync::Notify::new());
+        tokio::task::spawn_local(relay(between, address, silent.clone()));
+        let pool = PeerPool::new(client.clone());
+        let peer: Arc<str> = "b".into();
+        let streams = [(); 2].map(|()| pool.open(&peer, &relayed, request()));
+        let mut held = Vec::new();
+        for _ in &streams {
+            held.push(requests.recv().await.expect("the request arrives"));
+        }
+        silent.notify_one();
+        for stream in streams {
+            let result = stream.single(&peer).await;
+            assert!(matches!(result, Err(PeerError::Lost { .. })));
+        }
+        let again = pool.open(&peer, &relayed, request());
+        let (_, sender) = requests.recv().await.expect("a new connection works");
+        sender.send(reply()).await.expect("the client reads");
+        assert_eq!(again.single(&peer).await, Ok(reply()));
+        assert_eq!(client.metrics.counted("peer.silent"), 1);
+        for (_, sender) in held {
+            sender.closed().await;
+        }
+    });
+}
+
+/// An authority and certificates in files, one for each name.
+struct Certificates {
+    directory: std::path::PathBuf,
+    issuer: rcgen::Issuer<'static, rcgen::KeyPair>,
+}
+
+impl Certificates {
+    fn new(name: &str) -> Self {
+        let directory =
+            std::env::temp_dir().join(format!("flamingoscale-peer-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&directory).expect("there is room");
+        let key = rcgen::KeyPair::generate().expect("keys can be made");
+        let mut parameters = rcgen::CertificateParams::default();
+        parameters.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
+        let certificate = parameters.self_signed(&key).expect("it is whole");
+        let this = Self {
+            directory,
+            issuer: rcgen::Issuer::new(parameters, key),
+        };
+        this.write("authority", &certificate.pem());
+        this
+    }
+
+    fn write(&self, name: &str, text: &str) -> Arc<str> {
+        let path = self.directory.join(name);
+        let mut file = std::fs::File::create(&path).expect("there is room");
+        file.write_all(text.as_bytes()).expect("there is room");
+        path.display().to_string().into()
+    }
+
+    fn issue(&self, name: &str) -> PeerTls {
+        let key = rcgen::KeyPair::generate().expect("keys can be made");
+        let parameters = rcgen::CertificateParams::new([name.to_owned()]).expect("it is a name");
+        let certificate = parameters
+            .signed_by(&key, &self.issuer)
+            .expect("it is whole");
+        let authority = self.directory.join("authority").display().to_string();
+        PeerTls {
+            certificate: self.write(&format!("{name}.pem"), &certificate.pem()),
+            key: self.write(&format!("{name}.key"), &key.serialize_pem()),
+            authority: authority.into(),
+        }
+    }
+}
+
+impl Drop for Certificates {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+#[test]
+fn tls_proves_both_names() {
+    run(async {
+        let certificates = Certificates::new("names");
+        let server = instance("b", Some(certificates.issue("b")));
+        let (address, mut requests) = start(&server);
+        let peer: Arc<str> = "b".into();
+
+        let client = instance("a", Some(certificates.issue("a")));
+        let pool = PeerPool::new(client.clone());
+        let stream = pool.open(&peer, &address, request());
+        let (from, sender) = requests.recv().await.expect("the request arrives");
+        assert_eq!(&*from, "a");
+        sender.send(reply()).await.expect("the client reads");
+        assert_eq!(stream.single(&peer).await, Ok(reply()));
+
+        // It claims to be `a` but shows the certificate of `z`.
+        let liar = instance("a", Some(certificates.issue("z")));
+        let liar_pool = PeerPool::new(liar.clone());
+        let result = liar_pool
+            .open(&peer, &address, request())
+            .single(&peer)
+            .await;
+        assert!(matches!(result, Err(PeerError::Lost { .. })));
+        assert_eq!(server.metrics.counted("peer.garbage"), 1);
+
+        // Whoever answers at this address can't prove to be `c`.
+        let other: Arc<str> = "c".into();
+        let result = pool.open(&other, &address, request()).single(&other).await;
+        assert!(matches!(result, Err(PeerError::NotSent { .. })));
+        assert!(requests.try_recv().is_err());
+    });
+}
+
+#[test]
+fn tls_refuses_strangers() {
+    run(async {
+        let (ours, theirs) = (Certificates::new("ours"), Certificates::new("theirs"));
+        let server = instance("b", Some(ours.issue("b")));
+        let (address, mut requests) = start(&server);
+        let peer: Arc<str> = "b".into();
+        for stranger in [instance("a", Some(theirs.issue("a"))), instance("a", None)] {
+            let pool = PeerPool::new(stranger.clone());
+            let result = pool.open(&peer, &address, request()).single(&peer).await;
+            assert!(result.is_err());
+        }
+        assert!(requests.try_recv().is_err());
+    });
+}
--- a/flamingoscale/src/state.rs
+++ b/flamingoscale/src/state.rs
@@ -86,6 +86,10 @@
     TooLarge,
 }
 
+/// The region that stands for all of them: orders and usage reports have one holder each, so that
+/// no change of the questionnaire can ever put two in charge of the same matter.
+pub const EVERYWHERE: &str = "everywhere";
+
 /// The lease for endpoint orders of a region.
 pub fn orders_lease(region: &str) -> Arc<str> {
     format!("orders/{region}").into()
@@ -213,7 +217,7 @@
                 region,
                 action,
             } => self.intend(offset, *claim, envelope, region, action),
-            Record::OrderOutcome { order, .. } => self.settle(*order),
+            Record::OrderOutcome { claim, order, .. } => self.settle(*claim, envelope, *order),
             Record::VersionPublished {
                 trainer,
                 version,
@@ -328,9 +332,9 @@
         }
     }
 
-    /// Whether the writer held some lease under the term or renewal `claim`.
-    fn check_holder(&self, claim: u64, envelope: &Envelope) -> Result<(), Rejection> {
-        let held = self.leases.values().any(|entry| {
+    /// Whether the writer holds this lease under the term or renewal `claim`.
+    fn check_holder(&self, lease: &str, claim: u64, envelope: &Envelope) -> Result<(), Rejection> {
+        let held = self.leases.get(lease).is_some_and(|entry| {
             let in_term = (entry.fencing..=entry.claim).contains(&claim);
             in_term && !entry.released && entry.is_held_by(envelope)
         });
@@ -344,7 +348,7 @@
         changed: &[PlatformEndpoint],
         gone: &[Arc<str>],
     ) -> Result<(), Rejection> {
-        self.check_holder(claim, envelope)?;
+        self.check_holder(&orders_lease(EVERYWHERE), claim, envelope)?;
         let table = Arc::make_mut(&mut self.endpoints);
         for endpoint in changed {
             table.upsert(endpoint);
@@ -363,7 +367,7 @@
         region: &Arc<str>,
         action: &PlatformAction,
     ) -> Result<(), Rejection> {
-        self.check_holder(claim, envelope)?;
+        self.check_holder(&orders_lease(region), claim, envelope)?;
         let order = OpenOrder {
             region: region.clone(),
             claim,
@@ -373,9 +377,12 @@
         Ok(())
     }
 
-    fn settle(&mut self, order: u64) -> Result<(), Rejection> {
-        let settled = self.open_orders.remove(&order);
-        settled.map(|_| ()).ok_or(Rejection::Unknown)
+    /// An outcome of a holder that lost the lease is dropped: its successor goes on with the order.
+    fn settle(&mut self, claim: u64, envelope: &Envelope, order: u64) -> Result<(), Rejection> {
+        let open = self.open_orders.get(&order).ok_or(Rejection::Unknown)?;
+        self.check_holder(&orders_lease(&open.region), claim, envelope)?;
+        self.open_orders.remove(&order);
+        Ok(())
     }
 
     fn publish(
@@ -432,11 +439,14 @@
         covers: u64,
         figures: &Figures,
     ) -> Result<(), Rejection> {
-        self.check_holder(claim, envelope)?;
+        self.check_holder(&usage_lease(region), claim, envelope)?;
         let usage = self.usage.entry(region.clone()).or_default();
         if usage.next_window != window || covers > self.folded {
             return Err(Rejection::Stale);
         }
+        // Figures that are no longer pending are in another window already.
+        let pending = subtract(&self.pending_usage, figures).ok_or(Rejection::Stale)?;
+        self.pending_usage = pending;
         usage.next_window += 1;
         usage.windows.retain(|_, closed| !closed.reported);
         let closed = ClosedWindow {
@@ -444,7 +454,6 @@
             reported: false,
         };
         usage.windows.insert(window, closed);
-        subtract(&mut self.pending_usage, figures);
         Ok(())
     }
 
@@ -462,13 +471,14 @@
     }
 }
 
-/// Takes the figures of a closed window out of the pending ones.
-fn subtract(pending: &mut Figures, closed: &Figures) {
-    for (organisation, figures) in closed {
-        if let Some(left) = pending.get_mut(organisation) {
-            left.requests = left.requests.saturating_sub(figures.requests);
-            left.tokens = left.tokens.saturating_sub(figures.tokens);
-        }
+/// What is pending without the figures of a window; none if they are not all pending.
+fn subtract(pending: &Figures, window: &Figures) -> Option<Figures> {
+    let mut rest = pending.clone();
+    for (organisation, figures) in window {
+        let left = rest.get_mut(organisation)?;
+        left.requests = left.requests.checked_sub(figures.requests)?;
+        left.tokens = left.tokens.checked_sub(figures.tokens)?;
     }
-    pending.retain(|_, left| left.requests > 0 || left.tokens > 0);
+    rest.retain(|_, left| left.requests > 0 || left.tokens > 0);
+    Some(rest)
 }
