--- /dev/null
+++ b/standin/src/bin/flamingoscale-standin.rs
@@ -0,0 +1,205 @@
+//! Runs the stand-ins of the platform as a plain process, for daemons started one by one.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use bpaf::{
+    construct,
+    long,
+    OptionParser,
+    Parser, //
+};
+use flamingoscale::wire::{
+    EndpointPhase,
+    ListedInstance,
+    PlatformEndpoint,
+    Tier, //
+};
+use standin::{
+    engine::EngineSettings,
+    face::Host,
+    platform::{
+        Platform,
+        PlatformSettings,
+        StartedEndpoint, //
+    },
+    service::ServiceStandin,
+    weight_store::WeightStore, //
+};
+
+#[derive(Clone, Debug)]
+struct Options {
+    platform_port: u16,
+    store_port: u16,
+    store_bytes_per_s: u64,
+    engines: Vec<Wanted>,
+    services: Vec<Wanted>,
+    instances: Vec<Listed>,
+    tokens_per_s: f64,
+}
+
+/// `SERVICE@FAILURE_DOMAIN`.
+#[derive(Clone, Debug)]
+struct Wanted {
+    service: Arc<str>,
+    failure_domain: Arc<str>,
+}
+
+/// `INSTANCE@FAILURE_DOMAIN=IP:PORT`.
+#[derive(Clone, Debug)]
+struct Listed(ListedInstance);
+
+impl std::str::FromStr for Wanted {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let parts = text.split_once('@');
+        let (service, failure_domain) = parts.ok_or("write SERVICE@FAILURE_DOMAIN")?;
+        Ok(Self {
+            service: service.into(),
+            failure_domain: failure_domain.into(),
+        })
+    }
+}
+
+impl std::str::FromStr for Listed {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let remedy = "write INSTANCE@FAILURE_DOMAIN=IP:PORT";
+        let (name, address) = text.split_once('=').ok_or(remedy)?;
+        let (instance, failure_domain) = name.split_once('@').ok_or(remedy)?;
+        let address: SocketAddr = address.parse().map_err(|_| remedy)?;
+        Ok(Self(ListedInstance {
+            instance: instance.into(),
+            peer_address: address.to_string().into(),
+            failure_domain: failure_domain.into(),
+            leaving: false,
+        }))
+    }
+}
+
+fn options() -> OptionParser<Options> {
+    let platform_port = long("platform-port")
+        .help("Port of the platform on loopback; 0 lets the kernel choose")
+        .argument::<u16>("PORT")
+        .fallback(7100);
+    let store_port = long("store-port")
+        .help("Port of the weight store")
+        .argument::<u16>("PORT")
+        .fallback(7101);
+    let store_bytes_per_s = long("store-bytes-per-s")
+        .help("Bytes a second that the store gives to all readers together")
+        .argument::<u64>("BYTES")
+        .fallback(100_000_000);
+    let engines = long("engine")
+        .help("Starts an engine; may be given many times")
+        .argument::<Wanted>("SERVICE@FAILURE_DOMAIN")
+        .many();
+    let services = long("service")
+        .help(
+            "Starts a plain service; may be given many times. \
+               Services that start with `plain-` or are named here are plain when ordered",
+        )
+        .argument::<Wanted>("SERVICE@FAILURE_DOMAIN")
+        .many();
+    let instances = long("instance")
+        .help("Puts an instance with its peer address on the platform's list")
+        .argument::<Listed>("INSTANCE@FAILURE_DOMAIN=IP:PORT")
+        .many();
+    let tokens_per_s = long("tokens-per-s")
+        .help("Tokens a second that an engine gives each request")
+        .argument::<f64>("TOKENS")
+        .fallback(200.0);
+    construct!(Options {
+        platform_port,
+        store_port,
+        store_bytes_per_s,
+        engines,
+        services,
+        instances,
+        tokens_per_s,
+    })
+    .to_options()
+    .descr("Stand-ins for the platform, the weight store, engines and plain services")
+    .footer("Faults: curl -H 'content-type: application/json' -d '{\"outage\":{\"for_ms\":5000}}' http://127.0.0.1:7100/fault")
+}
+
+fn main() -> std::io::Result<()> {
+    let options = options().run();
+    let host = Host::start()?;
+    let platform = PlatformSettings::default()
+        .port(options.platform_port)
+        .start(&host)?;
+    let store = WeightStore::start(&host, options.store_port, options.store_bytes_per_s)?;
+    println!("platform {}", platform.address());
+    println!("weight store {}", store.address());
+    for (number, wanted) in options.engines.iter().enumerate() {
+        let listed = listed(wanted, number);
+        let engine = start_engine(&host, &listed, options.tokens_per_s)?;
+        add(&platform, listed, engine);
+    }
+    for (number, wanted) in options.services.iter().enumerate() {
+        let listed = listed(wanted, number);
+        let service = ServiceStandin::start(&host, 0, listed.endpoint.clone(), 20)?;
+        add(&platform, listed, service);
+    }
+    for instance in &options.instances {
+        platform.list_instance(instance.0.clone());
+    }
+    start_on_order(&host, &platform, &options);
+    loop {
+        std::thread::park();
+    }
+}
+
+fn listed(wanted: &Wanted, number: usize) -> PlatformEndpoint {
+    let (service, failure_domain) = (&wanted.service, &wanted.failure_domain);
+    PlatformEndpoint {
+        endpoint: format!("{service}-{failure_domain}-first-{number}").into(),
+        service: service.clone(),
+        failure_domain: failure_domain.clone(),
+        address: "".into(),
+        tier: Tier::Firm,
+        phase: EndpointPhase::Running,
+        order: 0,
+    }
+}
+
+fn start_engine(
+    host: &Host,
+    listed: &PlatformEndpoint,
+    tokens_per_s: f64,
+) -> std::io::Result<Arc<dyn StartedEndpoint>> {
+    let settings = EngineSettings::new(listed.endpoint.clone()).tokens_per_s(tokens_per_s);
+    let engine: Arc<dyn StartedEndpoint> = settings.start(host)?;
+    Ok(engine)
+}
+
+fn add(platform: &Platform, mut listed: PlatformEndpoint, started: Arc<dyn StartedEndpoint>) {
+    listed.address = started.address().to_string().into();
+    println!("endpoint {} {}", listed.endpoint, listed.address);
+    platform.add_endpoint(listed, started);
+}
+
+/// Lets the platform start real stand-ins for what is ordered.
+fn start_on_order(host: &Host, platform: &Platform, options: &Options) {
+    let plain: Vec<Arc<str>> = options
+        .services
+        .iter()
+        .map(|wanted| wanted.service.clone())
+        .collect();
+    let (host, tokens_per_s) = (host.clone(), options.tokens_per_s);
+    platform.on_start(Box::new(move |listed| {
+        let is_plain = plain.contains(&listed.service) || listed.service.starts_with("plain-");
+        let started: Arc<dyn StartedEndpoint> = if is_plain {
+            ServiceStandin::start(&host, 0, listed.endpoint.clone(), 20).ok()?
+        } else {
+            start_engine(&host, listed, tokens_per_s).ok()?
+        };
+        println!("endpoint {} {}", listed.endpoint, started.address());
+        Some(started)
+    }));
+}
--- /dev/null
+++ b/standin/src/engine/batch.rs
@@ -0,0 +1,281 @@
+//! The continuous batch: slots, a queue by priority, tokens at a stated speed.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration, //
+};
+
+use flamingoscale::wire::{
+    CompletionChunk,
+    CompletionRequest,
+    KvExport,
+    VersionSpan, //
+};
+use tokio::sync::mpsc;
+
+use super::{
+    cache::PrefixCache,
+    text::{
+        expected_tokens,
+        word, //
+    },
+    EngineSettings,
+    RunRecord, //
+};
+use crate::{
+    faults::Standing,
+    platform::lock, //
+};
+
+/// Where the chunks of one request go; it closes when the request is over or the engine crashed.
+pub(super) type Chunks = mpsc::UnboundedReceiver<CompletionChunk>;
+
+struct Job {
+    record: usize,
+    id: Arc<str>,
+    request: CompletionRequest,
+    sender: mpsc::UnboundedSender<CompletionChunk>,
+    target: u32,
+    produced: u32,
+    due: f64,
+    prefill_ms: f64,
+    cancelled: bool,
+}
+
+pub(super) struct Batch {
+    pub(super) boot: u64,
+    pub(super) records: Vec<RunRecord>,
+    pub(super) generated_tokens: u64,
+    running: Vec<Job>,
+    queue: Vec<Job>,
+    slots: usize,
+    tokens_per_ms: f64,
+    prefill_ms_per_block: f64,
+    tells_versions: bool,
+    vary_lengths: bool,
+}
+
+impl Batch {
+    pub(super) fn new(settings: &EngineSettings) -> Self {
+        Self {
+            boot: 1,
+            records: Vec::new(),
+            generated_tokens: 0,
+            running: Vec::new(),
+            queue: Vec::new(),
+            slots: settings.slots as usize,
+            tokens_per_ms: settings.tokens_per_s / 1_000.0,
+            prefill_ms_per_block: settings.prefill_ms_per_block,
+            tells_versions: settings.tells_versions,
+            vary_lengths: settings.vary_lengths,
+        }
+    }
+
+    pub(super) fn crash(&mut self) {
+        self.boot += 1;
+        self.running.clear();
+        self.queue.clear();
+    }
+
+    /// Requests that run and that wait.
+    pub(super) fn load(&self) -> (u32, u32) {
+        (self.running.len() as u32, self.queue.len() as u32)
+    }
+
+    /// Queues a request.
+    pub(super) fn add(
+        &mut self,
+        id: Arc<str>,
+        organisation: Arc<str>,
+        request: CompletionRequest,
+    ) -> Chunks {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let resumed = request.resume.as_ref();
+        let spans = resumed.map_or_else(Vec::new, |export| export.versions.clone());
+        let produced = spans.iter().map(|span| span.tokens).sum();
+        let record = RunRecord {
+            request_id: id.clone(),
+            organisation,
+            prompt: request.prompt.clone(),
+            seed: request.seed,
+            boot: self.boot,
+            spans,
+            finish_reason: None,
+            began: false,
+        };
+        self.records.push(record);
+        self.queue.push(Job {
+            record: self.records.len() - 1,
+            id,
+            target: self.target(&request),
+            request,
+            sender,
+            produced,
+            due: 0.0,
+            prefill_ms: 0.0,
+            cancelled: false,
+        });
+        receiver
+    }
+
+    fn target(&self, request: &CompletionRequest) -> u32 {
+        if self.vary_lengths {
+            return expected_tokens(&request.prompt, request.seed, request.max_tokens);
+        }
+        request.max_tokens
+    }
+
+    /// Cancels a request; returns whether it was there.
+    pub(super) fn cancel(&mut self, id: &str) -> bool {
+        let jobs = self.running.iter_mut().chain(&mut self.queue);
+        let mut found = false;
+        for job in jobs.filter(|job| &*job.id == id) {
+            job.cancelled = true;
+            found = true;
+        }
+        found
+    }
+
+    /// The state of a running request, to go on with elsewhere.
+    pub(super) fn export(&self, id: &str) -> Option<KvExport> {
+        let job = self.running.iter().find(|job| &*job.id == id)?;
+        let words = (0..job.produced).map(|index| job.word(index));
+        Some(KvExport {
+            text: words.collect::<Vec<_>>().join(" "),
+            versions: self.records[job.record].spans.clone(),
+            state: format!("{:x}:{}", job.request.seed, job.produced),
+        })
+    }
+
+    /// Moves on by `passed`. Returns after how many milliseconds the engine is back, if a poisoned
+    /// request crashes it now.
+    pub(super) fn step(
+        &mut self,
+        passed: Duration,
+        version: u64,
+        faults: &Standing,
+        cache: &Mutex<PrefixCache>,
+    ) -> Option<u64> {
+        let poisoned = self.fill_slots(faults, cache);
+        if poisoned.is_some() {
+            return poisoned;
+        }
+        let passed_ms = passed.as_secs_f64() * 1_000.0;
+        let mut index = 0;
+        while index < self.running.len() {
+            if self.advance(index, passed_ms, version) {
+                self.running.remove(index);
+            } else {
+                index += 1;
+            }
+        }
+        None
+    }
+
+    fn fill_slots(&mut self, faults: &Standing, cache: &Mutex<PrefixCache>) -> Option<u64> {
+        self.drop_cancelled();
+        self.queue
+            .sort_by_key(|job| (job.request.priority, job.record));
+        while self.running.len() < self.slots && !self.queue.is_empty() {
+            let mut job = self.queue.remove(0);
+            let missing = lock(cache).take(&job.request.prompt);
+            job.prefill_ms = missing as f64 * self.prefill_ms_per_block;
+            self.records[job.record].began = true;
+            let poisoned = faults.poisoned(&job.request.prompt);
+            if poisoned.is_some() {
+                return poisoned;
+            }
+            self.running.push(job);
+        }
+        None
+    }
+
+    fn drop_cancelled(&mut self) {
+        let records = &mut self.records;
+        self.queue.retain(|job| {
+            let over = job.cancelled || job.sender.is_closed();
+            if over {
+                records[job.record].finish_reason = Some("cancelled".into());
+                let _ = job.sender.send(job.last_chunk("cancelled"));
+            }
+            !over
+        });
+    }
+
+    /// Moves one running request on; returns whether it is over.
+    fn advance(&mut self, index: usize, passed_ms: f64, version: u64) -> bool {
+        let job = &mut self.running[index];
+        let record = &mut self.records[job.record];
+        if job.cancelled || job.sender.is_closed() {
+            record.finish_reason = Some("cancelled".into());
+            let _ = job.sender.send(job.last_chunk("cancelled"));
+            return true;
+        }
+        let generating_ms = passed_ms - job.prefill_ms;
+        job.prefill_ms = (job.prefill_ms - passed_ms).max(0.0);
+        job.due += generating_ms.max(0.0) * self.tokens_per_ms;
+        let tokens = (job.due as u32).min(job.target - job.produced.min(job.target));
+        job.due -= f64::from(tokens);
+        if tokens > 0 {
+            add_tokens(&mut record.spans, version, tokens);
+            self.generated_tokens += u64::from(tokens);
+        }
+        let told = self.tells_versions.then_some(version);
+        let mut chunk = job.chunk(tokens, told);
+        let over = job.produced >= job.target;
+        if over {
+            let whole = job.target == job.request.max_tokens;
+            let reason: Arc<str> = if whole { "length" } else { "stop" }.into();
+            record.finish_reason = Some(reason.clone());
+            chunk.finish_reason = Some(reason);
+        }
+        if tokens > 0 || over {
+            let _ = job.sender.send(chunk);
+        }
+        over
+    }
+}
+
+impl Job {
+    fn word(&self, index: u32) -> String {
+        word(&self.request.prompt, self.request.seed, index)
+    }
+
+    /// The next `tokens` words.
+    fn chunk(&mut self, tokens: u32, version: Option<u64>) -> CompletionChunk {
+        let mut text = String::new();
+        for index in self.produced..self.produced + tokens {
+            if index > 0 {
+                text.push(' ');
+            }
+            text.push_str(&self.word(index));
+        }
+        self.produced += tokens;
+        CompletionChunk {
+            id: self.id.clone(),
+            text,
+            tokens,
+            version,
+            finish_reason: None,
+        }
+    }
+
+    fn last_chunk(&self, reason: &str) -> CompletionChunk {
+        CompletionChunk {
+            id: self.id.clone(),
+            finish_reason: Some(reason.into()),
+            ..CompletionChunk::default()
+        }
+    }
+}
+
+/// Adds tokens of a version to the end of a row of spans.
+pub(super) fn add_tokens(spans: &mut Vec<VersionSpan>, version: u64, tokens: u32) {
+    match spans.last_mut() {
+        Some(last) if last.version == version => last.tokens += tokens,
+        _ => spans.push(VersionSpan { version, tokens }),
+    }
+}
--- /dev/null
+++ b/standin/src/engine/cache.rs
@@ -0,0 +1,108 @@
+//! The prefix cache, and its events, which are late and have gaps.
+
+use std::{
+    collections::VecDeque,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::wire::{
+    CacheEvent,
+    CacheEvents, //
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::EngineSettings;
+
+/// Bytes of prompt in one block. A block's hash is XXH3-64 of the prompt up to the block's end.
+pub const BLOCK_BYTES: usize = 64;
+
+/// Events that are kept.
+const KEPT_EVENTS: usize = 4_096;
+
+pub(super) struct PrefixCache {
+    blocks: VecDeque<u64>,
+    room: usize,
+    lag: Duration,
+    gap: u64,
+    seq: u64,
+    events: VecDeque<(Instant, CacheEvent)>,
+}
+
+impl PrefixCache {
+    pub(super) fn new(settings: &EngineSettings) -> Self {
+        Self {
+            blocks: VecDeque::new(),
+            room: settings.cache_blocks,
+            lag: Duration::from_millis(settings.cache_event_lag_ms),
+            gap: settings.cache_event_gap,
+            seq: 0,
+            events: VecDeque::new(),
+        }
+    }
+
+    pub(super) fn crash(&mut self) {
+        self.blocks.clear();
+        self.events.clear();
+        self.seq = 0;
+    }
+
+    /// Takes in a prompt; returns how many of its blocks were not cached.
+    pub(super) fn take(&mut self, prompt: &str) -> usize {
+        let bytes = prompt.as_bytes();
+        let ends = (1..=bytes.len() / BLOCK_BYTES).map(|number| number * BLOCK_BYTES);
+        let hashes: Vec<u64> = ends.map(|end| xxh3_64(&bytes[..end])).collect();
+        let mut missing = 0;
+        for hash in hashes {
+            missing += usize::from(!self.touch(hash));
+        }
+        missing
+    }
+
+    /// Moves a block to the young end; returns whether it was there.
+    fn touch(&mut self, block: u64) -> bool {
+        let known = self.blocks.iter().position(|&held| held == block);
+        if let Some(position) = known {
+            self.blocks.remove(position);
+        } else {
+            self.publish(block, true);
+        }
+        self.blocks.push_back(block);
+        while self.blocks.len() > self.room {
+            if let Some(dropped) = self.blocks.pop_front() {
+                self.publish(dropped, false);
+            }
+        }
+        known.is_some()
+    }
+
+    fn publish(&mut self, block: u64, stored: bool) {
+        self.seq += 1;
+        if self.gap > 0 && self.seq % self.gap == 0 {
+            return;
+        }
+        if self.events.len() == KEPT_EVENTS {
+            self.events.pop_front();
+        }
+        let event = CacheEvent {
+            seq: self.seq,
+            block,
+            stored,
+        };
+        self.events.push_back((Instant::now(), event));
+    }
+
+    pub(super) fn events_after(&self, after: u64, boot: u64) -> CacheEvents {
+        let due = self
+            .events
+            .iter()
+            .filter(|(at, _)| at.elapsed() >= self.lag);
+        let wanted = due.filter(|(_, event)| event.seq > after);
+        CacheEvents {
+            boot,
+            events: wanted.map(|(_, event)| event.clone()).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/engine/routes.rs
@@ -0,0 +1,280 @@
+//! The engine's routes.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use actix_web::{
+    web::{
+        self,
+        Data,
+        Json,
+        ServiceConfig, //
+    },
+    HttpRequest,
+    HttpResponse,
+    HttpResponseBuilder, //
+};
+use bytes::Bytes;
+use flamingoscale::wire::{
+    Completion,
+    CompletionChunk,
+    CompletionRequest,
+    EndpointStatus,
+    EngineOrder,
+    ErrorBody,
+    RequestRef,
+    ENDPOINT_HEADER,
+    NOT_RUN_HEADER,
+    ORGANISATION_HEADER,
+    REQUEST_ID_HEADER, //
+};
+use futures::stream;
+use serde::Deserialize;
+
+use super::{
+    batch::{
+        add_tokens,
+        Chunks, //
+    },
+    load::take_order,
+    Load,
+    Shared, //
+};
+use crate::{
+    face::{
+        header,
+        Gate, //
+    },
+    faults::{
+        sleep_ms,
+        Fault, //
+    },
+    platform::lock, //
+};
+
+pub(super) fn configure(config: &mut ServiceConfig, data: &Data<Shared>) {
+    config
+        .app_data(data.clone())
+        .route("/v1/completions", web::post().to(complete))
+        .route("/v1/cancel", web::post().to(cancel))
+        .route("/v1/kv/export", web::post().to(export))
+        .route("/admin/status", web::get().to(status))
+        .route("/admin/orders", web::post().to(order))
+        .route("/admin/cache_events", web::get().to(cache_events))
+        .route("/fault", web::post().to(fault));
+}
+
+fn response(shared: &Shared, mut builder: HttpResponseBuilder) -> HttpResponseBuilder {
+    builder.insert_header((ENDPOINT_HEADER, &*shared.settings.endpoint));
+    builder
+}
+
+fn refused(shared: &Shared) -> HttpResponse {
+    let body = ErrorBody {
+        kind: "refused".into(),
+        message: "the engine did not run this: try another".into(),
+    };
+    response(shared, HttpResponse::ServiceUnavailable())
+        .insert_header((NOT_RUN_HEADER, "1"))
+        .json(body)
+}
+
+async fn complete(
+    shared: Data<Shared>,
+    request: HttpRequest,
+    body: Json<CompletionRequest>,
+) -> HttpResponse {
+    shared.note_headers(&request);
+    shared.faults.delay().await;
+    if shared.faults.take_refusal() {
+        return refused(&shared);
+    }
+    let id: Arc<str> = header(&request, REQUEST_ID_HEADER).into();
+    let organisation = header(&request, ORGANISATION_HEADER).into();
+    let body = body.into_inner();
+    let streamed = body.stream;
+    let lost = shared.faults.take_loss().then(|| Gate::of(&request));
+    let chunks = lock(&shared.batch).add(id.clone(), organisation, body);
+    if streamed {
+        return response(&shared, HttpResponse::Ok())
+            .content_type("text/event-stream")
+            .streaming(events(chunks, lost));
+    }
+    whole(&shared, id, chunks, lost).await
+}
+
+/// Gathers the whole answer. A crash drops this task with its connection.
+async fn whole(
+    shared: &Shared,
+    id: Arc<str>,
+    mut chunks: Chunks,
+    lost: Option<Gate>,
+) -> HttpResponse {
+    let mut completion = Completion {
+        id,
+        ..Completion::default()
+    };
+    while let Some(chunk) = chunks.recv().await {
+        add_chunk(&mut completion, chunk);
+    }
+    if completion.finish_reason.is_empty() {
+        return response(shared, HttpResponse::InternalServerError()).finish();
+    }
+    if let Some(gate) = lost {
+        gate.kill();
+        std::future::pending::<()>().await;
+    }
+    response(shared, HttpResponse::Ok()).json(completion)
+}
+
+fn add_chunk(completion: &mut Completion, chunk: CompletionChunk) {
+    completion.text.push_str(&chunk.text);
+    completion.tokens += chunk.tokens;
+    if let Some(version) = chunk.version.filter(|_| chunk.tokens > 0) {
+        add_tokens(&mut completion.versions, version, chunk.tokens);
+    }
+    if let Some(reason) = chunk.finish_reason {
+        completion.finish_reason = reason;
+    }
+}
+
+/// Server-sent events of the chunks and the end mark.
+fn events(
+    chunks: Chunks,
+    lost: Option<Gate>,
+) -> impl futures::Stream<Item = Result<Bytes, std::io::Error>> {
+    stream::unfold(Some((chunks, lost)), |state| async move {
+        let (mut chunks, lost) = state?;
+        let Some(chunk) = chunks.recv().await else {
+            let broken = std::io::Error::other("the engine went down");
+            return Some((Err(broken), None));
+        };
+        if let Some(gate) = &lost {
+            finish_unheard(&mut chunks, &chunk).await;
+            gate.kill();
+            std::future::pending::<()>().await;
+        }
+        let body = serde_json::to_string(&chunk).unwrap_or_default();
+        if chunk.finish_reason.is_some() {
+            let last = format!("data: {body}\n\ndata: [DONE]\n\n");
+            return Some((Ok(last.into()), None));
+        }
+        Some((Ok(format!("data: {body}\n\n").into()), Some((chunks, lost))))
+    })
+}
+
+/// Runs a request to its end though nobody will get the answer.
+async fn finish_unheard(chunks: &mut Chunks, first: &CompletionChunk) {
+    let mut over = first.finish_reason.is_some();
+    while !over {
+        let next = chunks.recv().await;
+        over = next.is_none_or(|chunk| chunk.finish_reason.is_some());
+    }
+}
+
+async fn cancel(shared: Data<Shared>, body: Json<RequestRef>) -> HttpResponse {
+    if lock(&shared.batch).cancel(&body.request_id) {
+        return response(&shared, HttpResponse::Ok()).finish();
+    }
+    response(&shared, HttpResponse::NotFound()).finish()
+}
+
+async fn export(shared: Data<Shared>, body: Json<RequestRef>) -> HttpResponse {
+    shared.faults.delay().await;
+    let exported = lock(&shared.batch).export(&body.request_id);
+    match exported {
+        Some(export) => response(&shared, HttpResponse::Ok()).json(export),
+        None => response(&shared, HttpResponse::NotFound()).finish(),
+    }
+}
+
+/// The status. Its load is late; boot, version and swap are as they stand.
+async fn status(shared: Data<Shared>) -> HttpResponse {
+    shared.faults.delay().await;
+    if shared.faults.take_refusal() {
+        return refused(&shared);
+    }
+    let (running, queued) = shared.late_load();
+    let boot = lock(&shared.batch).boot;
+    let loads = lock(&shared.loads);
+    let status = EndpointStatus {
+        endpoint: shared.settings.endpoint.clone(),
+        boot,
+        version: loads.version(),
+        swapping: loads.swapping,
+        failed: loads.failed.clone(),
+        running,
+        queued,
+        slots: shared.settings.slots,
+        leaving_in_ms: shared.leaving_in_ms(),
+    };
+    drop(loads);
+    response(&shared, HttpResponse::Ok()).json(status)
+}
+
+impl Shared {
+    /// The load, as old as the lag says.
+    fn late_load(&self) -> Load {
+        let lag = Duration::from_millis(self.settings.status_lag_ms);
+        let mut reported = lock(&self.reported);
+        if reported
+            .read_at
+            .is_none_or(|read_at| read_at.elapsed() >= lag)
+        {
+            reported.read_at = Some(Instant::now());
+            reported.told = reported.next;
+            reported.next = lock(&self.batch).load();
+        }
+        reported.told
+    }
+}
+
+async fn order(
+    shared: Data<Shared>,
+    request: HttpRequest,
+    body: Json<EngineOrder>,
+) -> HttpResponse {
+    shared.note_headers(&request);
+    shared.faults.delay().await;
+    if shared.faults.take_refusal() {
+        return refused(&shared);
+    }
+    let lost = shared.faults.take_loss();
+    let taken = take_order(&shared, body.into_inner());
+    if lost {
+        Gate::of(&request).kill();
+        std::future::pending::<()>().await;
+    }
+    if taken {
+        return response(&shared, HttpResponse::Accepted()).finish();
+    }
+    response(&shared, HttpResponse::Conflict()).finish()
+}
+
+#[derive(Deserialize)]
+struct EventsQuery {
+    #[serde(default)]
+    after: u64,
+}
+
+async fn cache_events(shared: Data<Shared>, query: web::Query<EventsQuery>) -> HttpResponse {
+    let boot = lock(&shared.batch).boot;
+    let events = lock(&shared.cache).events_after(query.after, boot);
+    response(&shared, HttpResponse::Ok()).json(events)
+}
+
+async fn fault(shared: Data<Shared>, body: Json<Fault>) -> HttpResponse {
+    let shared = shared.into_inner();
+    let fault = body.into_inner();
+    actix_rt::spawn(async move {
+        // The answer goes first, for a fault may drop its connection.
+        sleep_ms(1).await;
+        shared.fault(&fault);
+    });
+    HttpResponse::Accepted().finish()
+}
--- /dev/null
+++ b/standin/src/engine/text.rs
@@ -0,0 +1,34 @@
+//! The text that an engine generates: a function of prompt and seed.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Different words that an engine knows.
+const WORDS: u64 = 100_000;
+
+/// The word at `index`. The first one tells the seed, so that a sample can be checked by itself.
+pub(super) fn word(prompt: &str, seed: u64, index: u32) -> String {
+    if index == 0 {
+        return format!("s{seed:x}");
+    }
+    let hash = xxh3_64_with_seed(prompt.as_bytes(), seed ^ (u64::from(index) << 40));
+    format!("w{}", hash % WORDS)
+}
+
+/// The first `tokens` words for a prompt and seed.
+pub fn expected_text(prompt: &str, seed: u64, tokens: u32) -> String {
+    let words: Vec<String> = (0..tokens).map(|index| word(prompt, seed, index)).collect();
+    words.join(" ")
+}
+
+/// How many tokens an engine gives that varies its lengths: from a quarter of `max_tokens` up,
+/// a few at their full length.
+pub fn expected_tokens(prompt: &str, seed: u64, max_tokens: u32) -> u32 {
+    let hash = xxh3_64_with_seed(prompt.as_bytes(), !seed);
+    let shortest = u64::from(max_tokens.div_ceil(4));
+    let span = u64::from(max_tokens) - shortest + 1;
+    let drawn = (shortest + hash % span).min(shortest + (hash >> 32) % span);
+    if hash % 16 == 0 {
+        return max_tokens;
+    }
+    drawn.max(1) as u32
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,15 @@
-//! Small stand-ins for the systems that flamingoscale talks to.
+//! Small stand-ins for the systems that flamingoscale talks to: the platform, the weight store,
+//! engines, plain services, trainers and callers.
+//!
+//! All run in one process on loopback with ports that the kernel chooses. Each keeps its own true
+//! record of what happened, by which the tests and the demo judge; each takes faults in process
+//! and by `POST /fault` with a [`faults::Fault`] as JSON.
+
+pub mod caller;
+pub mod engine;
+pub mod face;
+pub mod faults;
+pub mod platform;
+pub mod service;
+pub mod trainer;
+pub mod weight_store;
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,368 @@
+//! The platform: log, instance list, endpoint orders, usage reports.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        Weak, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use actix_web::web;
+use flamingoscale::wire::{
+    EndpointPhase,
+    ListedInstance,
+    PlatformEndpoint,
+    PlatformOrder,
+    Tier,
+    UsageReport, //
+};
+
+use crate::{
+    face::{
+        Face,
+        Host, //
+    },
+    faults::{
+        Fault,
+        Standing, //
+    }, //
+};
+
+mod endpoints;
+mod log;
+mod routes;
+mod usage;
+
+pub use endpoints::{
+    EndpointSeconds,
+    OrderRecord,
+    StartedEndpoint,
+    Starter, //
+};
+pub use usage::ReportRecord;
+
+/// How the platform behaves without faults.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    port: u16,
+    appends_per_s: u32,
+    retention_ms: u64,
+    list_lag_ms: u64,
+    start_ms: u64,
+    leave_ms: u64,
+    checks_fencing: bool,
+}
+
+impl Default for PlatformSettings {
+    fn default() -> Self {
+        Self {
+            port: 0,
+            appends_per_s: 400,
+            retention_ms: 3_600_000,
+            list_lag_ms: 500,
+            start_ms: 200,
+            leave_ms: 1_000,
+            checks_fencing: true,
+        }
+    }
+}
+
+impl PlatformSettings {
+    /// Sets the port; 0 lets the kernel choose.
+    pub fn port(mut self, port: u16) -> Self {
+        self.port = port;
+        self
+    }
+
+    /// Sets how many appends a second the log takes.
+    pub fn appends_per_s(mut self, appends: u32) -> Self {
+        self.appends_per_s = appends.max(1);
+        self
+    }
+
+    /// Sets how long the log keeps a record, in milliseconds.
+    pub fn retention_ms(mut self, retention_ms: u64) -> Self {
+        self.retention_ms = retention_ms;
+        self
+    }
+
+    /// Sets how late the list of instances is, in milliseconds.
+    pub fn list_lag_ms(mut self, lag_ms: u64) -> Self {
+        self.list_lag_ms = lag_ms;
+        self
+    }
+
+    /// Sets how long an ordered endpoint takes to start, in milliseconds.
+    pub fn start_ms(mut self, start_ms: u64) -> Self {
+        self.start_ms = start_ms;
+        self
+    }
+
+    /// Sets how long a stopped endpoint is still reachable, in milliseconds.
+    pub fn leave_ms(mut self, leave_ms: u64) -> Self {
+        self.leave_ms = leave_ms;
+        self
+    }
+
+    /// Sets whether orders with an old fencing number are refused.
+    pub fn checks_fencing(mut self, checks: bool) -> Self {
+        self.checks_fencing = checks;
+        self
+    }
+
+    /// Starts the platform.
+    ///
+    /// # Errors
+    ///
+    /// When the port can't be opened.
+    pub fn start(self, host: &Host) -> io::Result<Platform> {
+        Platform::start(host, self)
+    }
+}
+
+#[derive(Debug)]
+struct Listed {
+    since: Instant,
+    instance: ListedInstance,
+    gone: Option<Instant>,
+}
+
+pub(crate) struct Shared {
+    settings: PlatformSettings,
+    faults: Standing,
+    log: Mutex<log::LogStore>,
+    appended: tokio::sync::Notify,
+    instances: Mutex<Vec<Listed>>,
+    endpoints: Mutex<endpoints::Endpoints>,
+    usage: Mutex<usage::Reports>,
+    started: Instant,
+    face: Mutex<Weak<Face>>,
+}
+
+/// A running platform.
+pub struct Platform {
+    shared: Arc<Shared>,
+    face: Arc<Face>,
+    host: Host,
+}
+
+impl Platform {
+    fn start(host: &Host, settings: PlatformSettings) -> io::Result<Self> {
+        let port = settings.port;
+        let shared = Arc::new(Shared {
+            log: Mutex::new(log::LogStore::new(&settings)),
+            settings,
+            faults: Standing::default(),
+            appended: tokio::sync::Notify::new(),
+            instances: Mutex::default(),
+            endpoints: Mutex::default(),
+            usage: Mutex::default(),
+            started: Instant::now(),
+            face: Mutex::default(),
+        });
+        let data = web::Data::from(shared.clone());
+        let face = Face::open(host, port, move |config| routes::configure(config, &data))?;
+        let face = Arc::new(face);
+        *lock(&shared.face) = Arc::downgrade(&face);
+        Ok(Self {
+            shared,
+            face,
+            host: host.clone(),
+        })
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.face.address()
+    }
+
+    /// Sets a fault.
+    pub fn fault(&self, fault: &Fault) {
+        self.shared.fault(fault);
+    }
+
+    /// Sets what starts the endpoints that are ordered. Without one, orders are refused.
+    pub fn on_start(&self, starter: Starter) {
+        lock(&self.shared.endpoints).starter = Some(starter);
+    }
+
+    /// Adds an instance to the list, where it shows after the lag.
+    pub fn list_instance(&self, instance: ListedInstance) {
+        let listed = Listed {
+            since: Instant::now(),
+            instance,
+            gone: None,
+        };
+        lock(&self.shared.instances).push(listed);
+    }
+
+    /// Takes an instance off the list, where it shows until after the lag.
+    pub fn unlist_instance(&self, instance: &str) {
+        let mut instances = lock(&self.shared.instances);
+        let listed = instances
+            .iter_mut()
+            .filter(|listed| &*listed.instance.instance == instance);
+        listed.for_each(|listed| listed.gone = Some(Instant::now()));
+    }
+
+    /// Adds an endpoint that was there before any order.
+    pub fn add_endpoint(&self, listed: PlatformEndpoint, started: Arc<dyn StartedEndpoint>) {
+        let mut endpoints = lock(&self.shared.endpoints);
+        endpoints.add(listed, started);
+    }
+
+    /// Takes one endpoint back after `notice_ms` milliseconds.
+    pub fn reclaim(&self, endpoint: &str, notice_ms: u64) {
+        let host = self.host.clone();
+        let (shared, endpoint) = (self.shared.clone(), Arc::from(endpoint));
+        host.run(move || shared.take_back(&endpoint, notice_ms));
+    }
+
+    /// Every endpoint that is listed now.
+    pub fn endpoints(&self) -> Vec<PlatformEndpoint> {
+        lock(&self.shared.endpoints).listed()
+    }
+
+    /// Every order that arrived, in order of arrival.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        lock(&self.shared.endpoints).orders.clone()
+    }
+
+    /// Orders that came from a process after another with a newer fencing number had given one
+    /// for the same region: what must never happen.
+    pub fn orders_from_two(&self) -> u64 {
+        endpoints::orders_from_two(&lock(&self.shared.endpoints).orders)
+    }
+
+    /// What the endpoints cost so far.
+    pub fn endpoint_seconds(&self) -> EndpointSeconds {
+        lock(&self.shared.endpoints).seconds()
+    }
+
+    /// Every usage report that arrived.
+    pub fn reports(&self) -> Vec<ReportRecord> {
+        lock(&self.shared.usage).records.clone()
+    }
+
+    /// Windows that were taken, with the figures that the platform bills.
+    pub fn billed(&self) -> Vec<UsageReport> {
+        lock(&self.shared.usage).billed()
+    }
+
+    /// Reports of a window that had been taken with other figures: what must never happen.
+    pub fn usage_conflicts(&self) -> u64 {
+        lock(&self.shared.usage).conflicts()
+    }
+
+    /// Reports that came from a process after another with a newer fencing number had reported:
+    /// what must never happen.
+    pub fn reports_from_two(&self) -> u64 {
+        lock(&self.shared.usage).from_two()
+    }
+
+    /// The offset that the next append gets.
+    pub fn log_head(&self) -> u64 {
+        lock(&self.shared.log).head()
+    }
+
+    /// Appends that had an effect.
+    pub fn appends(&self) -> u64 {
+        lock(&self.shared.log).appends
+    }
+
+    /// Appends records in process, as an operator's tool might.
+    pub fn append(&self, records: Vec<String>) {
+        lock(&self.shared.log).append(records);
+        self.shared.appended.notify_waiters();
+    }
+}
+
+impl Shared {
+    fn fault(self: &Arc<Self>, fault: &Fault) {
+        self.faults.set(fault);
+        match fault {
+            Fault::Truncate { keep } => lock(&self.log).truncate(*keep),
+            Fault::Unavailable {
+                failure_domain,
+                unavailable,
+            } => lock(&self.endpoints).set_unavailable(failure_domain, *unavailable),
+            Fault::Vanish {
+                failure_domain,
+                notice_ms,
+                cheap_only,
+            } => self.vanish(failure_domain, *notice_ms, *cheap_only),
+            _ => {}
+        }
+        let face = lock(&self.face).upgrade();
+        if let Some(face) = face {
+            // The platform's stores outlive its processes, so a crash forgets nothing.
+            face.apply(fault, &|| ());
+        }
+    }
+
+    fn vanish(self: &Arc<Self>, failure_domain: &str, notice_ms: u64, cheap_only: bool) {
+        let listed = lock(&self.endpoints).listed();
+        let going = listed.into_iter().filter(|endpoint| {
+            let wanted = !cheap_only || endpoint.tier == Tier::Cheap;
+            wanted && &*endpoint.failure_domain == failure_domain
+        });
+        let going: Vec<Arc<str>> = going.map(|endpoint| endpoint.endpoint).collect();
+        let face = lock(&self.face).upgrade();
+        let Some(face) = face else {
+            return;
+        };
+        for endpoint in going {
+            let shared = self.clone();
+            face.host()
+                .run(move || shared.take_back(&endpoint, notice_ms));
+        }
+    }
+
+    /// Takes an endpoint back; must run on the thread of the stand-ins.
+    fn take_back(self: &Arc<Self>, endpoint: &Arc<str>, notice_ms: u64) {
+        let started = lock(&self.endpoints).set_phase(endpoint, EndpointPhase::Leaving);
+        if let Some(started) = started {
+            started.reclaim(notice_ms);
+        }
+        let (shared, endpoint) = (self.clone(), endpoint.clone());
+        actix_rt::spawn(async move {
+            crate::faults::sleep_ms(notice_ms).await;
+            let gone = lock(&shared.endpoints).remove(&endpoint);
+            if let Some(gone) = gone {
+                gone.stop();
+            }
+        });
+    }
+
+    fn instances(&self) -> Vec<ListedInstance> {
+        let lag = Duration::from_millis(self.settings.list_lag_ms);
+        let seen = |since: Instant| since.elapsed() >= lag;
+        let instances = lock(&self.instances);
+        let listed = instances.iter().filter(|listed| seen(listed.since));
+        let listed = listed.filter(|listed| !listed.gone.is_some_and(seen));
+        listed.map(|listed| listed.instance.clone()).collect()
+    }
+
+    fn order_record(&self, order: &PlatformOrder, status: u16) -> OrderRecord {
+        OrderRecord {
+            at_ms: self.started.elapsed().as_millis() as u64,
+            order: order.clone(),
+            status,
+        }
+    }
+}
+
+/// Locks what no panic leaves half changed.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/standin/src/platform/log.rs
@@ -0,0 +1,105 @@
+//! The append-only log, with retention and a limit on appends.
+
+use std::{
+    collections::VecDeque,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::wire::{
+    LogEntry,
+    ReadResponse, //
+};
+
+use super::PlatformSettings;
+
+/// Most entries in one answer.
+const READ_LIMIT: usize = 1_000;
+
+pub(super) struct LogStore {
+    entries: VecDeque<(Instant, String)>,
+    earliest: u64,
+    retention: Duration,
+    appends_per_s: f64,
+    tokens: f64,
+    refilled: Instant,
+    pub(super) appends: u64,
+}
+
+impl LogStore {
+    pub(super) fn new(settings: &PlatformSettings) -> Self {
+        let appends_per_s = f64::from(settings.appends_per_s);
+        Self {
+            entries: VecDeque::new(),
+            earliest: 0,
+            retention: Duration::from_millis(settings.retention_ms),
+            appends_per_s,
+            tokens: appends_per_s,
+            refilled: Instant::now(),
+            appends: 0,
+        }
+    }
+
+    pub(super) fn head(&self) -> u64 {
+        self.earliest + self.entries.len() as u64
+    }
+
+    /// Whether the limit has room for one more append now.
+    pub(super) fn take_token(&mut self) -> bool {
+        let now = Instant::now();
+        let gained = (now - self.refilled).as_secs_f64() * self.appends_per_s;
+        self.tokens = (self.tokens + gained).min(self.appends_per_s);
+        self.refilled = now;
+        let room = self.tokens >= 1.0;
+        if room {
+            self.tokens -= 1.0;
+        }
+        room
+    }
+
+    pub(super) fn append(&mut self, records: Vec<String>) -> u64 {
+        let first_offset = self.head();
+        let now = Instant::now();
+        self.appends += 1;
+        self.entries
+            .extend(records.into_iter().map(|record| (now, record)));
+        first_offset
+    }
+
+    pub(super) fn truncate(&mut self, keep: usize) {
+        while self.entries.len() > keep {
+            self.entries.pop_front();
+            self.earliest += 1;
+        }
+    }
+
+    fn expire(&mut self) {
+        while let Some((appended, _)) = self.entries.front() {
+            if appended.elapsed() < self.retention {
+                return;
+            }
+            self.entries.pop_front();
+            self.earliest += 1;
+        }
+    }
+
+    /// Reads from `from` on. The answer has no entries when `from` is past retention.
+    pub(super) fn read(&mut self, from: u64, max: usize) -> ReadResponse {
+        self.expire();
+        let skipped = from.saturating_sub(self.earliest) as usize;
+        let kept = from >= self.earliest;
+        let wanted = if kept { max.min(READ_LIMIT) } else { 0 };
+        let entries = self.entries.iter().skip(skipped).take(wanted);
+        let entries = entries.enumerate().map(|(index, (_, data))| LogEntry {
+            offset: from + index as u64,
+            data: data.clone(),
+        });
+        ReadResponse {
+            entries: entries.collect(),
+            earliest: self.earliest,
+            head: self.head(),
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/platform/routes.rs
@@ -0,0 +1,231 @@
+//! The platform's routes.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use actix_web::{
+    web::{
+        self,
+        Data,
+        Json,
+        ServiceConfig, //
+    },
+    HttpRequest,
+    HttpResponse, //
+};
+use flamingoscale::wire::{
+    AppendRequest,
+    AppendResponse,
+    ErrorBody,
+    ListedInstance,
+    PlatformAction,
+    PlatformOrder,
+    UsageReport, //
+};
+use serde::Deserialize;
+
+use super::{
+    endpoints::OrderRefusal,
+    lock,
+    Shared, //
+};
+use crate::{
+    face::Gate,
+    faults::{
+        sleep_ms,
+        Fault, //
+    }, //
+};
+
+pub(super) fn configure(config: &mut ServiceConfig, data: &Data<Shared>) {
+    config
+        .app_data(data.clone())
+        .route("/log/append", web::post().to(append))
+        .route("/log/read", web::get().to(read))
+        .route("/instances", web::get().to(instances))
+        .route("/instances", web::post().to(list_instance))
+        .route("/endpoints", web::get().to(endpoints))
+        .route("/orders", web::post().to(order))
+        .route("/usage", web::post().to(usage))
+        .route("/fault", web::post().to(fault));
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    from: u64,
+    max: usize,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+fn refusal(kind: &str) -> HttpResponse {
+    let body = ErrorBody {
+        kind: kind.into(),
+        message: "the platform refused without effect: try again later".into(),
+    };
+    HttpResponse::ServiceUnavailable().json(body)
+}
+
+/// Waits out the delay; returns the refusal if there is one.
+async fn admit(shared: &Shared) -> Result<(), HttpResponse> {
+    shared.faults.delay().await;
+    if shared.faults.take_refusal() {
+        return Err(refusal("away"));
+    }
+    Ok(())
+}
+
+/// Gives the answer, or drops the connection if answers are lost.
+async fn answer(shared: &Shared, request: &HttpRequest, response: HttpResponse) -> HttpResponse {
+    if !shared.faults.take_loss() {
+        return response;
+    }
+    Gate::of(request).kill();
+    std::future::pending().await
+}
+
+async fn append(
+    shared: Data<Shared>,
+    request: HttpRequest,
+    body: Json<AppendRequest>,
+) -> HttpResponse {
+    if let Err(refused) = admit(&shared).await {
+        return refused;
+    }
+    let first_offset = {
+        let mut log = lock(&shared.log);
+        if !log.take_token() {
+            return refusal("over-limit");
+        }
+        log.append(body.into_inner().records)
+    };
+    shared.appended.notify_waiters();
+    let response = HttpResponse::Ok().json(AppendResponse { first_offset });
+    answer(&shared, &request, response).await
+}
+
+async fn read(shared: Data<Shared>, query: web::Query<ReadQuery>) -> HttpResponse {
+    if let Err(refused) = admit(&shared).await {
+        return refused;
+    }
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        let appended = shared.appended.notified();
+        let found = lock(&shared.log).read(query.from, query.max);
+        if query.from < found.earliest {
+            return HttpResponse::Gone().json(found);
+        }
+        let left = until.saturating_duration_since(Instant::now());
+        if !found.entries.is_empty() || left.is_zero() {
+            return HttpResponse::Ok().json(found);
+        }
+        let _ = actix_rt::time::timeout(left, appended).await;
+        if shared.faults.take_refusal() {
+            return refusal("away");
+        }
+    }
+}
+
+async fn instances(shared: Data<Shared>) -> HttpResponse {
+    if let Err(refused) = admit(&shared).await {
+        return refused;
+    }
+    HttpResponse::Ok().json(shared.instances())
+}
+
+async fn list_instance(shared: Data<Shared>, body: Json<ListedInstance>) -> HttpResponse {
+    lock(&shared.instances).push(super::Listed {
+        since: Instant::now(),
+        instance: body.into_inner(),
+        gone: None,
+    });
+    HttpResponse::Ok().finish()
+}
+
+async fn endpoints(shared: Data<Shared>) -> HttpResponse {
+    if let Err(refused) = admit(&shared).await {
+        return refused;
+    }
+    let listed = lock(&shared.endpoints).listed();
+    HttpResponse::Ok().json(listed)
+}
+
+async fn order(
+    shared: Data<Shared>,
+    request: HttpRequest,
+    body: Json<PlatformOrder>,
+) -> HttpResponse {
+    if let Err(refused) = admit(&shared).await {
+        return refused;
+    }
+    let late_ms = shared.faults.delay_orders_ms();
+    sleep_ms(late_ms).await;
+    let order = body.into_inner();
+    let response = if late_ms > order.valid_ms {
+        HttpResponse::Gone().finish()
+    } else {
+        carry_out(&shared, &order)
+    };
+    let record = shared.order_record(&order, response.status().as_u16());
+    lock(&shared.endpoints).orders.push(record);
+    answer(&shared, &request, response).await
+}
+
+fn carry_out(shared: &Data<Shared>, order: &PlatformOrder) -> HttpResponse {
+    let checks_fencing = shared.settings.checks_fencing;
+    let result = lock(&shared.endpoints).carry_out(order, checks_fencing);
+    let done = match result {
+        Ok(done) => done,
+        Err(OrderRefusal::Fenced) => return HttpResponse::Conflict().finish(),
+        Err(OrderRefusal::Unavailable) => return refusal("unavailable"),
+    };
+    match &order.action {
+        PlatformAction::Start { .. } => run_after_start(shared.clone(), &done.endpoint),
+        PlatformAction::Stop { endpoint } => {
+            let shared = shared.clone().into_inner();
+            shared.take_back(endpoint, shared.settings.leave_ms);
+        }
+    }
+    HttpResponse::Ok().json(done)
+}
+
+fn run_after_start(shared: Data<Shared>, endpoint: &Arc<str>) {
+    let endpoint = endpoint.clone();
+    actix_rt::spawn(async move {
+        sleep_ms(shared.settings.start_ms).await;
+        lock(&shared.endpoints).started(&endpoint);
+    });
+}
+
+async fn usage(
+    shared: Data<Shared>,
+    request: HttpRequest,
+    body: Json<UsageReport>,
+) -> HttpResponse {
+    if let Err(refused) = admit(&shared).await {
+        return refused;
+    }
+    let taken = lock(&shared.usage).take(body.into_inner());
+    let response = if taken {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::Conflict().finish()
+    };
+    answer(&shared, &request, response).await
+}
+
+async fn fault(shared: Data<Shared>, body: Json<Fault>) -> HttpResponse {
+    let shared = shared.into_inner();
+    let fault = body.into_inner();
+    actix_rt::spawn(async move {
+        // The answer goes first, for a fault may drop its connection.
+        sleep_ms(1).await;
+        shared.fault(&fault);
+    });
+    HttpResponse::Accepted().finish()
+}
--- /dev/null
+++ b/standin/src/service.rs
@@ -0,0 +1,307 @@
+//! A plain service that counts each run of a request.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        Weak, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use actix_web::{
+    web::{
+        self,
+        Bytes,
+        Data,
+        Json, //
+    },
+    HttpRequest,
+    HttpResponse, //
+};
+use flamingoscale::wire::{
+    EndpointStatus,
+    ENDPOINT_HEADER,
+    NOT_RUN_HEADER,
+    ORGANISATION_HEADER,
+    REQUEST_ID_HEADER, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    face::{
+        header,
+        headers,
+        shows_key,
+        Face,
+        Gate,
+        Host, //
+    },
+    faults::{
+        sleep_ms,
+        Fault,
+        Standing, //
+    },
+    platform::{
+        lock,
+        StartedEndpoint, //
+    }, //
+};
+
+/// Body of a lookup. Any other body counts under its own text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lookup {
+    /// What the caller calls this lookup.
+    pub id: String,
+}
+
+/// Answer to a lookup.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LookupAnswer {
+    /// The lookup's id.
+    pub id: String,
+    /// What [`expected_value`] gives for it.
+    pub value: u64,
+}
+
+/// The value that answers a lookup.
+pub fn expected_value(id: &str) -> u64 {
+    // JSON numbers are whole up to 2^53 everywhere.
+    xxh3_64(id.as_bytes()) >> 11
+}
+
+/// What truly happened to one request at a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRun {
+    /// The request's id, as the header gave it.
+    pub request_id: String,
+    /// The organisation, as the header gave it.
+    pub organisation: String,
+    /// The caller's id of it.
+    pub body_id: String,
+    /// The path that was called.
+    pub path: String,
+}
+
+struct Shared {
+    endpoint: Arc<str>,
+    service_ms: u64,
+    faults: Standing,
+    runs: Mutex<Vec<ServiceRun>>,
+    running: Mutex<u32>,
+    boot: Mutex<u64>,
+    with_key: Mutex<u64>,
+    leaving_at: Mutex<Option<Instant>>,
+    face: Mutex<Weak<Face>>,
+}
+
+/// A running plain service.
+pub struct ServiceStandin {
+    shared: Arc<Shared>,
+    face: Arc<Face>,
+}
+
+impl ServiceStandin {
+    /// Starts a service that takes `service_ms` milliseconds for each request.
+    ///
+    /// # Errors
+    ///
+    /// When the port can't be opened.
+    pub fn start(
+        host: &Host,
+        port: u16,
+        endpoint: impl Into<Arc<str>>,
+        service_ms: u64,
+    ) -> io::Result<Arc<Self>> {
+        let shared = Arc::new(Shared {
+            endpoint: endpoint.into(),
+            service_ms,
+            faults: Standing::default(),
+            runs: Mutex::default(),
+            running: Mutex::default(),
+            boot: Mutex::new(1),
+            with_key: Mutex::default(),
+            leaving_at: Mutex::default(),
+            face: Mutex::default(),
+        });
+        let data = Data::from(shared.clone());
+        let face = Face::open(host, port, move |config| {
+            config
+                .app_data(data.clone())
+                .route("/admin/status", web::get().to(status))
+                .route("/fault", web::post().to(fault))
+                .default_service(web::to(run));
+        })?;
+        let face = Arc::new(face);
+        *lock(&shared.face) = Arc::downgrade(&face);
+        Ok(Arc::new(Self { shared, face }))
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.face.address()
+    }
+
+    /// Its id at the platform.
+    pub fn endpoint(&self) -> &Arc<str> {
+        &self.shared.endpoint
+    }
+
+    /// Sets a fault.
+    pub fn fault(&self, fault: &Fault) {
+        self.shared.fault(fault);
+    }
+
+    /// Every run, in order.
+    pub fn runs(&self) -> Vec<ServiceRun> {
+        lock(&self.shared.runs).clone()
+    }
+
+    /// How often each of the callers' ids ran.
+    pub fn runs_by_body(&self) -> BTreeMap<String, u64> {
+        let mut counts = BTreeMap::new();
+        for run in lock(&self.shared.runs).iter() {
+            *counts.entry(run.body_id.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Requests that arrived with a caller's key: what must never happen.
+    pub fn keys_seen(&self) -> u64 {
+        *lock(&self.shared.with_key)
+    }
+}
+
+impl StartedEndpoint for ServiceStandin {
+    fn address(&self) -> SocketAddr {
+        self.face.address()
+    }
+
+    fn reclaim(&self, notice_ms: u64) {
+        self.shared.set_leaving(notice_ms);
+    }
+
+    fn stop(&self) {
+        self.face.close();
+    }
+}
+
+impl Shared {
+    fn fault(self: &Arc<Self>, fault: &Fault) {
+        self.faults.set(fault);
+        let Some(face) = lock(&self.face).upgrade() else {
+            return;
+        };
+        if let Fault::Reclaim { notice_ms } = fault {
+            self.set_leaving(*notice_ms);
+            face.later(Some(*notice_ms), Face::close);
+        }
+        face.apply(fault, &|| {
+            *lock(&self.boot) += 1;
+            *lock(&self.running) = 0;
+        });
+    }
+
+    fn set_leaving(&self, notice_ms: u64) {
+        *lock(&self.leaving_at) = Some(Instant::now() + Duration::from_millis(notice_ms));
+    }
+}
+
+/// Counts a request as running for as long as it lives.
+struct Running<'a>(&'a Mutex<u32>);
+
+impl<'a> Running<'a> {
+    fn new(running: &'a Mutex<u32>) -> Self {
+        *lock(running) += 1;
+        Self(running)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        let mut running = lock(self.0);
+        *running = running.saturating_sub(1);
+    }
+}
+
+async fn run(shared: Data<Shared>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    *lock(&shared.with_key) += u64::from(shows_key(&headers(&request)));
+    shared.faults.delay().await;
+    if shared.faults.take_refusal() {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header((ENDPOINT_HEADER, &*shared.endpoint))
+            .insert_header((NOT_RUN_HEADER, "1"))
+            .finish();
+    }
+    let body_id = body_id(&body);
+    lock(&shared.runs).push(ServiceRun {
+        request_id: header(&request, REQUEST_ID_HEADER),
+        organisation: header(&request, ORGANISATION_HEADER),
+        body_id: body_id.clone(),
+        path: request.uri().to_string(),
+    });
+    if let Some(back_after_ms) = shared.faults.poisoned(&body_id) {
+        let back_after_ms = Some(back_after_ms);
+        shared
+            .clone()
+            .into_inner()
+            .fault(&Fault::Crash { back_after_ms });
+        return std::future::pending().await;
+    }
+    let _running = Running::new(&shared.running);
+    sleep_ms(shared.service_ms).await;
+    if shared.faults.take_loss() {
+        Gate::of(&request).kill();
+        return std::future::pending().await;
+    }
+    HttpResponse::Ok()
+        .insert_header((ENDPOINT_HEADER, &*shared.endpoint))
+        .json(LookupAnswer {
+            value: expected_value(&body_id),
+            id: body_id,
+        })
+}
+
+fn body_id(body: &[u8]) -> String {
+    match serde_json::from_slice::<Lookup>(body) {
+        Ok(lookup) => lookup.id,
+        Err(_) => String::from_utf8_lossy(body).into_owned(),
+    }
+}
+
+async fn status(shared: Data<Shared>) -> HttpResponse {
+    shared.faults.delay().await;
+    let leaving_at = *lock(&shared.leaving_at);
+    let left = leaving_at.map(|at| at.saturating_duration_since(Instant::now()));
+    let status = EndpointStatus {
+        endpoint: shared.endpoint.clone(),
+        boot: *lock(&shared.boot),
+        running: *lock(&shared.running),
+        leaving_in_ms: left.map(|left| left.as_millis() as u64),
+        ..EndpointStatus::default()
+    };
+    HttpResponse::Ok()
+        .insert_header((ENDPOINT_HEADER, &*shared.endpoint))
+        .json(status)
+}
+
+async fn fault(shared: Data<Shared>, body: Json<Fault>) -> HttpResponse {
+    let shared = shared.into_inner();
+    let fault = body.into_inner();
+    actix_rt::spawn(async move {
+        // The answer goes first, for a fault may drop its connection.
+        sleep_ms(1).await;
+        shared.fault(&fault);
+    });
+    HttpResponse::Accepted().finish()
+}
--- /dev/null
+++ b/standin/src/trainer.rs
@@ -0,0 +1,244 @@
+//! A trainer: publishes versions, opens steps, fetches batches and checks every sample.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use awc::{
+    http::StatusCode,
+    Client,
+    ClientRequest, //
+};
+use flamingoscale::wire::{
+    Batch,
+    OpenStep,
+    PublishVersion,
+    Sample, //
+};
+
+use crate::{
+    caller::client,
+    engine::{
+        expected_text,
+        EngineStandin, //
+    },
+    faults::sleep_ms,
+    weight_store::PutVersion, //
+};
+
+/// Longest batch that a trainer reads.
+const BATCH_LIMIT_BYTES: usize = 64 << 20;
+
+/// How long one fetch waits for the batch.
+const FETCH_WAIT_MS: u64 = 1_000;
+
+/// Longest that one exchange takes.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Pause before the same thing is sent again.
+const RETRY_PAUSE_MS: u64 = 100;
+
+/// What a trainer found in its batches.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BatchCheck {
+    /// Samples that were asked for.
+    pub expected: u64,
+    /// Different samples that came.
+    pub delivered: u64,
+    /// Samples that came more than once, or that nobody asked for.
+    pub duplicates: u64,
+    /// Samples older than the bound when the batch closed.
+    pub stale: u64,
+    /// Samples whose versions differ from the engines' own records.
+    pub versions_wrong: u64,
+    /// Samples whose text is not what an engine gives for their prompt.
+    pub texts_wrong: u64,
+}
+
+impl BatchCheck {
+    /// Adds the findings of another batch.
+    pub fn add(&mut self, other: Self) {
+        self.expected += other.expected;
+        self.delivered += other.delivered;
+        self.duplicates += other.duplicates;
+        self.stale += other.stale;
+        self.versions_wrong += other.versions_wrong;
+        self.texts_wrong += other.texts_wrong;
+    }
+}
+
+/// A trainer of one organisation. It lives on one thread.
+pub struct TrainerStandin {
+    client: Client,
+    trainer: Arc<str>,
+    key: Arc<str>,
+    entries: Vec<SocketAddr>,
+    next_entry: usize,
+}
+
+impl TrainerStandin {
+    /// A trainer that uses any of `entries` in turn.
+    pub fn new(trainer: impl Into<Arc<str>>, key: Arc<str>, entries: Vec<SocketAddr>) -> Self {
+        Self {
+            client: client(),
+            trainer: trainer.into(),
+            key,
+            entries,
+            next_entry: 0,
+        }
+    }
+
+    /// Puts a version into the store and tells the system of it.
+    ///
+    /// # Errors
+    ///
+    /// The last answer, when the time is over.
+    pub async fn publish(
+        &mut self,
+        store: SocketAddr,
+        body: PublishVersion,
+        limit: Duration,
+    ) -> Result<(), String> {
+        let (trainer, version) = (&self.trainer, body.version);
+        let url = format!("http://{store}/trainers/{trainer}/versions/{version}");
+        let put = PutVersion { bytes: body.bytes };
+        let sent = self.client.put(url).send_json(&put).await;
+        sent.map_err(|error| error.to_string())?;
+        self.post_until_taken("versions", &body, limit).await
+    }
+
+    /// Opens a step, sending it again until it is taken.
+    ///
+    /// # Errors
+    ///
+    /// The last answer, when the time is over.
+    pub async fn open(&mut self, step: &OpenStep, limit: Duration) -> Result<(), String> {
+        self.post_until_taken("steps", step, limit).await
+    }
+
+    /// Fetches the batch of a step, asking any entry until it is whole.
+    ///
+    /// # Errors
+    ///
+    /// The last answer, when the time is over.
+    pub async fn fetch(&mut self, step: u64, limit: Duration) -> Result<Batch, String> {
+        let started = Instant::now();
+        let mut last = String::new();
+        while started.elapsed() < limit {
+            let path = format!("steps/{step}?wait_ms={FETCH_WAIT_MS}");
+            let url = self.next_url(&path);
+            match self.fetch_once(&url).await {
+                Ok(batch) if batch.complete => return Ok(batch),
+                Ok(batch) => last = format!("{} of {} samples", batch.finished, batch.expected),
+                Err(error) => {
+                    last = error;
+                    sleep_ms(RETRY_PAUSE_MS).await;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    /// Tells the system that the batch is safe.
+    ///
+    /// # Errors
+    ///
+    /// The last answer, when the time is over.
+    pub async fn acknowledge(&mut self, step: u64, limit: Duration) -> Result<(), String> {
+        let path = format!("steps/{step}/ack");
+        self.post_until_taken(&path, &(), limit).await
+    }
+
+    async fn fetch_once(&self, url: &str) -> Result<Batch, String> {
+        let request = self.with_key(self.client.get(url));
+        let mut response = request.send().await.map_err(|error| error.to_string())?;
+        if response.status() != StatusCode::OK {
+            return Err(format!("{url}: status {}", response.status()));
+        }
+        let body = response.json::<Batch>().limit(BATCH_LIMIT_BYTES);
+        body.await.map_err(|error| error.to_string())
+    }
+
+    async fn post_until_taken(
+        &mut self,
+        path: &str,
+        body: &impl serde::Serialize,
+        limit: Duration,
+    ) -> Result<(), String> {
+        let started = Instant::now();
+        let mut last = String::new();
+        while started.elapsed() < limit {
+            let url = self.next_url(path);
+            let request = self.with_key(self.client.post(&url));
+            match request.send_json(body).await {
+                Ok(response) if response.status().is_success() => return Ok(()),
+                Ok(mut response) => {
+                    let text = response.body().await.unwrap_or_default();
+                    let text = String::from_utf8_lossy(&text);
+                    last = format!("{url}: status {} {text}", response.status());
+                }
+                Err(error) => last = format!("{url}: {error}"),
+            }
+            sleep_ms(RETRY_PAUSE_MS).await;
+        }
+        Err(last)
+    }
+
+    fn with_key(&self, request: ClientRequest) -> ClientRequest {
+        request.timeout(EXCHANGE_LIMIT).bearer_auth(&self.key)
+    }
+
+    fn next_url(&mut self, path: &str) -> String {
+        let entry = self.entries[self.next_entry % self.entries.len()];
+        self.next_entry += 1;
+        format!("http://{entry}/v1/trainers/{}/{path}", self.trainer)
+    }
+}
+
+/// Checks a batch against the step and the engines' own records.
+pub fn check_batch(step: &OpenStep, batch: &Batch, engines: &[Arc<EngineStandin>]) -> BatchCheck {
+    let runs: Vec<_> = engines.iter().flat_map(|engine| engine.runs()).collect();
+    let expected = step.prompts.len() as u64 * u64::from(step.samples_per_group);
+    let mut seen = std::collections::BTreeSet::new();
+    let mut check = BatchCheck {
+        expected,
+        ..BatchCheck::default()
+    };
+    for sample in &batch.samples {
+        let asked =
+            (sample.group as usize) < step.prompts.len() && sample.index < step.samples_per_group;
+        if !asked || !seen.insert((sample.group, sample.index)) {
+            check.duplicates += 1;
+            continue;
+        }
+        let prompt = &step.prompts[sample.group as usize];
+        let seed = seed_of(sample);
+        let text = seed.map(|seed| expected_text(prompt, seed, sample.tokens));
+        check.texts_wrong += u64::from(text.as_ref() != Some(&sample.text));
+        let produced = runs.iter().any(|run| {
+            let same = run.prompt == *prompt && Some(run.seed) == seed;
+            same && run.spans == sample.versions
+        });
+        check.versions_wrong += u64::from(!produced);
+        check.stale += u64::from(is_stale(sample, batch.newest_version, step.staleness_bound));
+    }
+    check.delivered = seen.len() as u64;
+    check
+}
+
+/// The seed of a sample, by its first word.
+fn seed_of(sample: &Sample) -> Option<u64> {
+    let first = sample.text.split(' ').next()?;
+    u64::from_str_radix(first.strip_prefix('s')?, 16).ok()
+}
+
+/// Whether any token of the sample is older than the bound allows.
+fn is_stale(sample: &Sample, newest: u64, bound: u64) -> bool {
+    let oldest = sample.versions.iter().map(|span| span.version).min();
+    oldest.is_none_or(|oldest| oldest + bound < newest)
+}
--- /dev/null
+++ b/standin/src/weight_store.rs
@@ -0,0 +1,196 @@
+//! The weight store: bytes at a limited rate that all readers share.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use actix_web::{
+    web,
+    HttpResponse, //
+};
+use bytes::Bytes;
+use futures::stream;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    face::{
+        Face,
+        Host, //
+    },
+    faults::{
+        sleep_ms,
+        Fault,
+        Standing, //
+    }, //
+};
+
+/// Bytes that a reader gets at a time.
+const CHUNK_BYTES: u64 = 64 << 10;
+
+/// Body of a `PUT`.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub struct PutVersion {
+    /// The size of the version.
+    pub bytes: u64,
+}
+
+struct Shared {
+    bytes_per_s: u64,
+    versions: Mutex<BTreeMap<(String, u64), u64>>,
+    next_free: Mutex<Instant>,
+    served_bytes: Mutex<u64>,
+    faults: Standing,
+    face: Mutex<std::sync::Weak<Face>>,
+}
+
+/// A running weight store.
+pub struct WeightStore {
+    shared: Arc<Shared>,
+    face: Arc<Face>,
+}
+
+impl WeightStore {
+    /// Starts a store that gives `bytes_per_s` to all its readers together.
+    ///
+    /// # Errors
+    ///
+    /// When the port can't be opened.
+    pub fn start(host: &Host, port: u16, bytes_per_s: u64) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            bytes_per_s: bytes_per_s.max(1),
+            versions: Mutex::default(),
+            next_free: Mutex::new(Instant::now()),
+            served_bytes: Mutex::default(),
+            faults: Standing::default(),
+            face: Mutex::default(),
+        });
+        let data = web::Data::from(shared.clone());
+        let face = Face::open(host, port, move |config| {
+            let path = "/trainers/{trainer}/versions/{version}";
+            config
+                .app_data(data.clone())
+                .route(path, web::get().to(get))
+                .route(path, web::put().to(put))
+                .route("/fault", web::post().to(fault));
+        })?;
+        let face = Arc::new(face);
+        *shared.face.lock().expect("no panic holds it") = Arc::downgrade(&face);
+        Ok(Self { shared, face })
+    }
+
+    /// Where it is.
+    pub fn address(&self) -> SocketAddr {
+        self.face.address()
+    }
+
+    /// Puts a version there.
+    pub fn put(&self, trainer: &str, version: u64, bytes: u64) {
+        self.shared.put(trainer, version, bytes);
+    }
+
+    /// Sets a fault.
+    pub fn fault(&self, fault: &Fault) {
+        self.shared.fault(fault);
+    }
+
+    /// Bytes given out so far.
+    pub fn served_bytes(&self) -> u64 {
+        *self.shared.served_bytes.lock().expect("no panic holds it")
+    }
+}
+
+impl Shared {
+    fn put(&self, trainer: &str, version: u64, bytes: u64) {
+        let mut versions = self.versions.lock().expect("no panic holds it");
+        versions.insert((trainer.to_owned(), version), bytes);
+    }
+
+    fn size(&self, trainer: &str, version: u64) -> Option<u64> {
+        let versions = self.versions.lock().expect("no panic holds it");
+        versions.get(&(trainer.to_owned(), version)).copied()
+    }
+
+    fn fault(&self, fault: &Fault) {
+        self.faults.set(fault);
+        let face = self.face.lock().expect("no panic holds it").upgrade();
+        if let Some(face) = face {
+            face.apply(fault, &|| ());
+        }
+    }
+
+    /// Books the time that `bytes` take at the shared rate; returns how long to wait for them.
+    fn book(&self, bytes: u64) -> Duration {
+        let mut next_free = self.next_free.lock().expect("no panic holds it");
+        let now = Instant::now();
+        let length = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s as f64);
+        *next_free = (*next_free).max(now) + length;
+        *next_free - now
+    }
+
+    async fn next_chunk(&self, left: u64) -> (io::Result<Bytes>, u64) {
+        let bytes = left.min(CHUNK_BYTES);
+        let wait = self.book(bytes);
+        actix_rt::time::sleep(wait).await;
+        if self.faults.take_refusal() {
+            return (Err(io::Error::other("the store is out")), 0);
+        }
+        *self.served_bytes.lock().expect("no panic holds it") += bytes;
+        (Ok(vec![0; bytes as usize].into()), left - bytes)
+    }
+}
+
+async fn get(shared: web::Data<Shared>, path: web::Path<(String, u64)>) -> HttpResponse {
+    shared.faults.delay().await;
+    if shared.faults.take_refusal() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let (trainer, version) = path.into_inner();
+    let Some(size) = shared.size(&trainer, version) else {
+        return HttpResponse::NotFound().finish();
+    };
+    let body = stream::unfold((shared, size), |(shared, left)| async move {
+        if left == 0 {
+            return None;
+        }
+        let (chunk, left) = shared.next_chunk(left).await;
+        Some((chunk, (shared, left)))
+    });
+    HttpResponse::Ok().streaming(body)
+}
+
+async fn put(
+    shared: web::Data<Shared>,
+    path: web::Path<(String, u64)>,
+    body: web::Json<PutVersion>,
+) -> HttpResponse {
+    shared.faults.delay().await;
+    if shared.faults.take_refusal() {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let (trainer, version) = path.into_inner();
+    shared.put(&trainer, version, body.bytes);
+    HttpResponse::Ok().finish()
+}
+
+async fn fault(shared: web::Data<Shared>, body: web::Json<Fault>) -> HttpResponse {
+    let shared = shared.into_inner();
+    let fault = body.into_inner();
+    actix_rt::spawn(async move {
+        sleep_ms(1).await;
+        shared.fault(&fault);
+    });
+    HttpResponse::Accepted().finish()
+}
--- /dev/null
+++ b/standin/tests/standins.rs
@@ -0,0 +1,475 @@
+//! The stand-ins by themselves: what they do without the system, and that each fault bites.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::wire::{
+    AppendRequest,
+    AppendResponse,
+    Completion,
+    CompletionRequest,
+    EndpointPhase,
+    EndpointStatus,
+    EngineAction,
+    EngineOrder,
+    PlatformAction,
+    PlatformEndpoint,
+    PlatformOrder,
+    PlatformOrderDone,
+    ReadResponse,
+    Tier,
+    UsageFigures,
+    UsageReport,
+    NOT_RUN_HEADER,
+    REQUEST_ID_HEADER, //
+};
+use standin::{
+    engine::{
+        expected_text,
+        EngineSettings,
+        EngineStandin, //
+    },
+    face::Host,
+    faults::Fault,
+    platform::{
+        Platform,
+        PlatformSettings,
+        StartedEndpoint, //
+    },
+    service::{
+        Lookup,
+        ServiceStandin, //
+    },
+    weight_store::WeightStore, //
+};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn host() -> Host {
+    Host::start().expect("a thread")
+}
+
+fn client() -> awc::Client {
+    awc::Client::builder().timeout(PATIENCE).finish()
+}
+
+/// Waits until `check` holds.
+async fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !check() {
+        assert!(started.elapsed() < PATIENCE, "never happened: {what}");
+        actix_rt::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+fn fast_engine(host: &Host) -> Arc<EngineStandin> {
+    let settings = EngineSettings::new("e1").tokens_per_s(4_000.0).swap_ms(5);
+    settings.start(host).expect("a port")
+}
+
+fn completion(prompt: &str, max_tokens: u32) -> CompletionRequest {
+    CompletionRequest {
+        model: "draft".into(),
+        prompt: prompt.into(),
+        max_tokens,
+        seed: 7,
+        ..CompletionRequest::default()
+    }
+}
+
+async fn complete(
+    address: SocketAddr,
+    id: &str,
+    request: &CompletionRequest,
+) -> Result<Completion, String> {
+    let url = format!("http://{address}/v1/completions");
+    let request = client()
+        .post(url)
+        .insert_header((REQUEST_ID_HEADER, id))
+        .send_json(request);
+    let mut response = request.await.map_err(|error| error.to_string())?;
+    let not_run = response.headers().contains_key(NOT_RUN_HEADER);
+    if !response.status().is_success() {
+        return Err(format!("{} not_run={not_run}", response.status()));
+    }
+    response.json().await.map_err(|error| error.to_string())
+}
+
+async fn status(address: SocketAddr) -> Result<EndpointStatus, String> {
+    let request = client().get(format!("http://{address}/admin/status"));
+    let mut response = request.send().await.map_err(|error| error.to_string())?;
+    response.json().await.map_err(|error| error.to_string())
+}
+
+async fn order_engine(address: SocketAddr, fencing: u64, version: u64, store: SocketAddr) -> u16 {
+    let url = format!("http://{store}/trainers/t/versions/{version}");
+    let order = EngineOrder {
+        fencing,
+        action: EngineAction::LoadVersion {
+            trainer: "t".into(),
+            version,
+            url: url.into(),
+        },
+    };
+    let request = client().post(format!("http://{address}/admin/orders"));
+    let response = request.send_json(&order).await.expect("an answer");
+    response.status().as_u16()
+}
+
+#[actix_web::test]
+async fn engine_answers_by_prompt_and_seed() {
+    let host = host();
+    let engine = fast_engine(&host);
+    let answer = complete(engine.address(), "r1", &completion("snow", 40)).await;
+    let answer = answer.expect("a whole answer");
+    assert_eq!(answer.text, expected_text("snow", 7, 40));
+    assert_eq!(&*answer.finish_reason, "length");
+    assert_eq!(engine.runs()[0].spans, answer.versions);
+    assert_eq!(engine.keys_seen(), 0);
+}
+
+#[actix_web::test]
+async fn engine_sees_a_callers_key() {
+    let host = host();
+    let engine = fast_engine(&host);
+    let url = format!("http://{}/v1/completions", engine.address());
+    let request = client().post(url).bearer_auth("fk-abc.secret");
+    let sent = request.send_json(&completion("snow", 1)).await;
+    assert!(sent.is_ok());
+    assert_eq!(engine.keys_seen(), 1);
+}
+
+#[actix_web::test]
+async fn engine_refuses_loses_and_crashes() {
+    let host = host();
+    let engine = fast_engine(&host);
+    let request = completion("ice", 10);
+    engine.fault(&Fault::Refuse { count: 1 });
+    let refused = complete(engine.address(), "r1", &request).await;
+    assert!(refused.expect_err("refused").contains("not_run=true"));
+    assert!(engine.runs().is_empty());
+
+    engine.fault(&Fault::LoseAnswers { count: 1 });
+    let lost = complete(engine.address(), "r2", &request).await;
+    assert!(lost.is_err());
+    assert_eq!(engine.runs()[0].finish_reason.as_deref(), Some("length"));
+
+    let back_after_ms = Some(50);
+    engine.fault(&Fault::Crash { back_after_ms });
+    let down = complete(engine.address(), "r3", &request).await;
+    assert!(down.is_err());
+    let started = Instant::now();
+    while complete(engine.address(), "r4", &request).await.is_err() {
+        assert!(started.elapsed() < PATIENCE, "the engine never came back");
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(engine.boot(), 2);
+}
+
+#[actix_web::test]
+async fn poison_crashes_the_engine_that_runs_it() {
+    let host = host();
+    let engine = fast_engine(&host);
+    engine.fault(&Fault::Poison {
+        text: "avalanche".into(),
+        back_after_ms: 10,
+    });
+    let died = complete(engine.address(), "r1", &completion("an avalanche", 5)).await;
+    assert!(died.is_err());
+    eventually("a new boot", || engine.boot() == 2).await;
+}
+
+#[actix_web::test]
+async fn open_connections_go_silent_and_new_ones_work() {
+    let host = host();
+    let settings = EngineSettings::new("e1").tokens_per_s(100.0);
+    let engine = settings.start(&host).expect("a port");
+    let address = engine.address();
+    let request = completion("fog", 50);
+    let held = complete(address, "r1", &request);
+    let silenced = async {
+        eventually("the request runs", || {
+            engine.runs().iter().any(|run| run.began)
+        })
+        .await;
+        engine.fault(&Fault::SilenceOpen);
+        let other = complete(address, "r2", &completion("sun", 2)).await;
+        assert!(other.is_ok());
+        eventually("the silent request ran", || {
+            engine.runs()[0].finish_reason.is_some()
+        })
+        .await;
+    };
+    let held = actix_rt::time::timeout(Duration::from_secs(2), held);
+    let (held, ()) = futures::join!(held, silenced);
+    assert!(held.is_err(), "a silent connection gave an answer");
+}
+
+#[actix_web::test]
+async fn weights_are_loaded_and_old_fencing_is_refused() {
+    let host = host();
+    let store = WeightStore::start(&host, 0, 50_000_000).expect("a port");
+    store.put("t", 3, 100_000);
+    let engine = fast_engine(&host);
+    assert_eq!(
+        order_engine(engine.address(), 5, 3, store.address()).await,
+        202
+    );
+    assert_eq!(
+        order_engine(engine.address(), 4, 3, store.address()).await,
+        409
+    );
+    eventually("the load ends", || engine.version() == 3).await;
+    assert_eq!(store.served_bytes(), 100_000);
+    let status = status(engine.address()).await.expect("a status");
+    assert_eq!((status.version, status.swapping), (3, false));
+
+    engine.fault(&Fault::FailSwaps { count: 1 });
+    assert_eq!(
+        order_engine(engine.address(), 5, 3, store.address()).await,
+        202
+    );
+    let started = Instant::now();
+    loop {
+        let status = self::status(engine.address()).await.expect("a status");
+        if status.failed.is_some() {
+            break;
+        }
+        assert!(started.elapsed() < PATIENCE, "the swap never failed");
+    }
+}
+
+#[actix_web::test]
+async fn store_shares_its_rate() {
+    let host = host();
+    let store = WeightStore::start(&host, 0, 1_000_000).expect("a port");
+    store.put("t", 1, 200_000);
+    let (first, second) = (fast_engine(&host), fast_engine(&host));
+    let started = Instant::now();
+    for engine in [&first, &second] {
+        order_engine(engine.address(), 1, 1, store.address()).await;
+    }
+    eventually("both loads end", || {
+        first.version() == 1 && second.version() == 1
+    })
+    .await;
+    // 400 kB at 1 MB/s; the limit is a lower bound on the time, whatever the machine's load.
+    assert!(started.elapsed() >= Duration::from_millis(390));
+}
+
+#[actix_web::test]
+async fn service_counts_runs() {
+    let host = host();
+    let service = ServiceStandin::start(&host, 0, "s1", 1).expect("a port");
+    let url = format!("http://{}/lookup", service.address());
+    let body = Lookup { id: "km 12".into() };
+    for _ in 0..2 {
+        let sent = client().post(&url).send_json(&body).await;
+        assert!(sent.expect("an answer").status().is_success());
+    }
+    service.fault(&Fault::LoseAnswers { count: 1 });
+    assert!(client().post(&url).send_json(&body).await.is_err());
+    assert_eq!(service.runs_by_body()["km 12"], 3);
+    service.fault(&Fault::Refuse { count: 1 });
+    let refused = client().post(&url).send_json(&body).await;
+    let refused = refused.expect("a refusal");
+    assert!(refused.headers().contains_key(NOT_RUN_HEADER));
+    assert_eq!(service.runs_by_body()["km 12"], 3);
+}
+
+async fn append(platform: &Platform, records: &[&str]) -> Result<u64, String> {
+    let body = AppendRequest {
+        records: records.iter().map(ToString::to_string).collect(),
+    };
+    let request = client().post(format!("http://{}/log/append", platform.address()));
+    let mut response = request
+        .send_json(&body)
+        .await
+        .map_err(|error| error.to_string())?;
+    let answer = response.json::<AppendResponse>().await;
+    Ok(answer.map_err(|error| error.to_string())?.first_offset)
+}
+
+async fn read(platform: &Platform, from: u64, wait_ms: u64) -> (u16, ReadResponse) {
+    let address = platform.address();
+    let url = format!("http://{address}/log/read?from={from}&max=100&wait_ms={wait_ms}");
+    let mut response = client().get(url).send().await.expect("an answer");
+    let status = response.status().as_u16();
+    (status, response.json().await.expect("a read"))
+}
+
+#[actix_web::test]
+async fn log_keeps_order_and_loses_answers_after_the_effect() {
+    let host = host();
+    let platform = PlatformSettings::default().start(&host).expect("a port");
+    assert_eq!(append(&platform, &["YQ==", "Yg=="]).await, Ok(0));
+    platform.fault(&Fault::LoseAnswers { count: 1 });
+    assert!(append(&platform, &["Yw=="]).await.is_err());
+    let (status, found) = read(&platform, 1, 0).await;
+    assert_eq!((status, found.entries.len(), found.head), (200, 2, 3));
+    assert_eq!(found.entries[1].offset, 2);
+    platform.fault(&Fault::Truncate { keep: 1 });
+    let (status, found) = read(&platform, 1, 0).await;
+    assert_eq!((status, found.earliest), (410, 2));
+    platform.fault(&Fault::Outage { for_ms: 60_000 });
+    assert!(append(&platform, &["ZA=="]).await.is_err());
+    platform.fault(&Fault::Clear);
+    assert_eq!(append(&platform, &["ZA=="]).await, Ok(3));
+}
+
+#[actix_web::test]
+async fn a_waiting_read_gets_the_next_record() {
+    let host = host();
+    let platform = PlatformSettings::default().start(&host).expect("a port");
+    let waiting = read(&platform, 0, 5_000);
+    let appending = async {
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        append(&platform, &["YQ=="]).await
+    };
+    let ((status, found), _) = futures::join!(waiting, appending);
+    assert_eq!((status, found.entries.len()), (200, 1));
+}
+
+#[actix_web::test]
+async fn appends_are_limited() {
+    let host = host();
+    let settings = PlatformSettings::default().appends_per_s(2);
+    let platform = settings.start(&host).expect("a port");
+    let mut refused = 0;
+    for _ in 0..20 {
+        refused += u32::from(append(&platform, &["YQ=="]).await.is_err());
+    }
+    assert!(refused > 0);
+}
+
+fn start_order(order: u64, fencing: u64, sender: &str) -> PlatformOrder {
+    PlatformOrder {
+        region: "r".into(),
+        fencing,
+        order,
+        valid_ms: 1_000,
+        sender: sender.into(),
+        action: PlatformAction::Start {
+            service: "draft".into(),
+            failure_domain: "saiq".into(),
+            tier: Tier::Cheap,
+        },
+    }
+}
+
+async fn send_order(
+    platform: &Platform,
+    order: &PlatformOrder,
+) -> Result<Result<PlatformOrderDone, u16>, String> {
+    let request = client().post(format!("http://{}/orders", platform.address()));
+    let sent = request.send_json(order).await;
+    let mut response = sent.map_err(|error| error.to_string())?;
+    if !response.status().is_success() {
+        return Ok(Err(response.status().as_u16()));
+    }
+    Ok(Ok(response
+        .json()
+        .await
+        .map_err(|error| error.to_string())?))
+}
+
+fn with_starter(host: &Host, settings: PlatformSettings) -> Platform {
+    let platform = settings.start(host).expect("a port");
+    let host = host.clone();
+    platform.on_start(Box::new(move |listed| {
+        let engine = EngineSettings::new(listed.endpoint.clone()).start(&host);
+        Some(engine.ok()? as Arc<dyn StartedEndpoint>)
+    }));
+    platform
+}
+
+#[actix_web::test]
+async fn orders_are_idempotent_fenced_and_dated() {
+    let host = host();
+    let platform = with_starter(&host, PlatformSettings::default().start_ms(1));
+    platform.fault(&Fault::LoseAnswers { count: 1 });
+    let order = start_order(8, 5, "n1");
+    assert!(send_order(&platform, &order).await.is_err());
+    let done = send_order(&platform, &order).await.expect("an answer");
+    assert_eq!(platform.endpoints().len(), 1);
+    assert_eq!(
+        done.expect("done").endpoint,
+        platform.endpoints()[0].endpoint
+    );
+
+    let old = send_order(&platform, &start_order(9, 4, "n2")).await;
+    assert_eq!(old, Ok(Err(409)));
+    assert_eq!(platform.orders_from_two(), 1);
+
+    platform.fault(&Fault::DelayOrders { delay_ms: 20 });
+    let mut late = start_order(10, 5, "n1");
+    late.valid_ms = 10;
+    assert_eq!(send_order(&platform, &late).await, Ok(Err(410)));
+    platform.fault(&Fault::Clear);
+    platform.fault(&Fault::Unavailable {
+        failure_domain: "saiq".into(),
+        unavailable: true,
+    });
+    let unavailable = send_order(&platform, &start_order(11, 5, "n1")).await;
+    assert_eq!(unavailable, Ok(Err(503)));
+}
+
+#[actix_web::test]
+async fn a_failure_domain_vanishes_after_its_notice() {
+    let host = host();
+    let platform = with_starter(&host, PlatformSettings::default().start_ms(1));
+    let sent = send_order(&platform, &start_order(1, 1, "n1")).await;
+    sent.expect("an answer").expect("done");
+    let engine = EngineSettings::new("firm").start(&host).expect("a port");
+    let listed = PlatformEndpoint {
+        endpoint: "firm".into(),
+        service: "draft".into(),
+        failure_domain: "saiq".into(),
+        address: engine.address().to_string().into(),
+        tier: Tier::Firm,
+        phase: EndpointPhase::Running,
+        order: 0,
+    };
+    platform.add_endpoint(listed, engine);
+    platform.fault(&Fault::Vanish {
+        failure_domain: "saiq".into(),
+        notice_ms: 50,
+        cheap_only: true,
+    });
+    eventually("the cheap one is gone", || platform.endpoints().len() == 1).await;
+    assert_eq!(&*platform.endpoints()[0].endpoint, "firm");
+}
+
+#[actix_web::test]
+async fn usage_conflicts_are_found() {
+    let host = host();
+    let platform = PlatformSettings::default().start(&host).expect("a port");
+    let mut report = UsageReport {
+        region: "r".into(),
+        window: 1,
+        fencing: 3,
+        reporter: "n1".into(),
+        figures: [("oasis".into(), UsageFigures::default())].into(),
+    };
+    let url = format!("http://{}/usage", platform.address());
+    let mut statuses = Vec::new();
+    for tokens in [0, 0, 9] {
+        report.figures.insert(
+            "oasis".into(),
+            UsageFigures {
+                requests: 1,
+                tokens,
+            },
+        );
+        let sent = client().post(&url).send_json(&report).await;
+        statuses.push(sent.expect("an answer").status().as_u16());
+    }
+    assert_eq!(statuses, [200, 200, 409]);
+    assert_eq!(platform.usage_conflicts(), 1);
+}
