--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -265,7 +265,7 @@
     /// Reports that came from a process after another with a newer fencing number had reported:
     /// what must never happen.
     pub fn reports_from_two(&self) -> u64 {
-        lock(&self.shared.usage).from_two()
+        lock(&self.shared.usage).reports_from_two()
     }
 
     /// The offset that the next append gets.
--- a/standin/src/platform/usage.rs
+++ b/standin/src/platform/usage.rs
@@ -37,7 +37,7 @@
     }
 
     /// Counts reports with a fencing number older than one that another reporter had shown.
-    pub(super) fn from_two(&self) -> u64 {
+    pub(super) fn reports_from_two(&self) -> u64 {
         let mut newest: BTreeMap<&str, (u64, &str)> = BTreeMap::new();
         let mut wrong = 0;
         for ReportRecord { report, .. } in &self.records {
