--- /dev/null
+++ b/flamingoscale/src/rollout/answer.rs
@@ -0,0 +1,165 @@
+//! Answers of a coordinator, here and over the peers' protocol.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix_rt::time::timeout;
+
+use crate::{
+    instance::Instance,
+    peer::{
+        PeerError,
+        PeerReply,
+        PeerRequest,
+        PeerStream,
+        ReplySender, //
+    },
+    rollout::{
+        copies::HeldStep,
+        holder::{
+            chunks,
+            MESSAGE_BYTES, //
+        },
+        Copied,
+        Message,
+        Reply, //
+    },
+    view::Member,
+    wire::Batch, //
+};
+
+/// Longest wait for the next part of an answer.
+const PART_MS: u64 = 3_000;
+
+/// What became of a request to a coordinator.
+#[derive(Clone, Debug)]
+pub(crate) enum Answer {
+    /// The batch as it stands.
+    Batch(Arc<Batch>),
+    /// What was recovered of a step.
+    Held(Box<HeldStep>),
+    /// Any other answer.
+    Reply(Reply),
+    /// The coordinator is not there: nothing was done.
+    Stopped,
+    /// The coordinator may have done it.
+    Lost,
+}
+
+impl Answer {
+    /// Sends the answer to a peer, large ones in parts.
+    pub(crate) async fn send(self, to: &ReplySender) {
+        match self {
+            Answer::Batch(batch) => send_batch(&batch, to).await,
+            Answer::Held(held) => send_held(*held, to).await,
+            Answer::Reply(reply) => send(reply, to).await,
+            Answer::Stopped | Answer::Lost => {}
+        }
+    }
+}
+
+async fn send(reply: Reply, to: &ReplySender) {
+    // A peer that went away needs no answer.
+    let _ = to.send(PeerReply::Rollout(reply)).await;
+}
+
+async fn send_batch(batch: &Batch, to: &ReplySender) {
+    let head = Batch {
+        samples: Vec::new(),
+        ..*batch
+    };
+    send(Reply::Batch(Box::new(head)), to).await;
+    let mut part = Vec::new();
+    let mut bytes = 0;
+    for sample in &batch.samples {
+        bytes += sample.text.len();
+        part.push(Arc::new(sample.clone()));
+        if bytes >= MESSAGE_BYTES {
+            send(Reply::Samples(std::mem::take(&mut part)), to).await;
+            bytes = 0;
+        }
+    }
+    send(Reply::Samples(part), to).await;
+}
+
+async fn send_held(held: HeldStep, to: &ReplySender) {
+    let head = Reply::Held {
+        step: held.step,
+        epoch: held.epoch,
+        sealed: held.sealed,
+    };
+    send(head, to).await;
+    let copies: Vec<Copied> = held.samples.into_values().collect();
+    for part in chunks(copies) {
+        send(Reply::Copies(part), to).await;
+    }
+    // An empty part tells a whole answer from one that broke off.
+    send(Reply::Copies(Vec::new()), to).await;
+}
+
+/// Asks another instance and waits at most `wait_ms` for the first part of its answer.
+pub(crate) async fn ask(
+    instance: &Instance,
+    member: &Member,
+    message: Message,
+    wait_ms: u64,
+) -> Answer {
+    let Some(peers) = instance.peers() else {
+        return Answer::Stopped;
+    };
+    let request = PeerRequest::Rollout(message);
+    let mut stream = peers.open(&member.instance, &member.peer_address, request);
+    match next(&mut stream, wait_ms).await {
+        Ok(Reply::Batch(head)) => receive_batch(*head, &mut stream).await,
+        Ok(Reply::Held {
+            step,
+            epoch,
+            sealed,
+        }) => {
+            let held = HeldStep::new(step, epoch, member.instance.clone(), sealed);
+            receive_held(held, &mut stream).await
+        }
+        Ok(reply) => Answer::Reply(reply),
+        Err(answer) => answer,
+    }
+}
+
+async fn next(stream: &mut PeerStream, wait_ms: u64) -> Result<Reply, Answer> {
+    match timeout(Duration::from_millis(wait_ms), stream.next()).await {
+        Ok(Some(Ok(PeerReply::Rollout(reply)))) => Ok(reply),
+        Ok(Some(Err(PeerError::NotSent { .. }))) => Err(Answer::Stopped),
+        _ => Err(Answer::Lost),
+    }
+}
+
+async fn receive_batch(mut batch: Batch, stream: &mut PeerStream) -> Answer {
+    let expected = if batch.complete { batch.expected } else { 0 };
+    while (batch.samples.len() as u32) < expected {
+        let samples = match next(stream, PART_MS).await {
+            Ok(Reply::Samples(samples)) => samples,
+            _ => return Answer::Lost,
+        };
+        if samples.is_empty() {
+            return Answer::Lost;
+        }
+        let owned = samples.into_iter().map(Arc::unwrap_or_clone);
+        batch.samples.extend(owned);
+    }
+    Answer::Batch(Arc::new(batch))
+}
+
+async fn receive_held(mut held: HeldStep, stream: &mut PeerStream) -> Answer {
+    loop {
+        let copies = match next(stream, PART_MS).await {
+            Ok(Reply::Copies(copies)) => copies,
+            _ => return Answer::Lost,
+        };
+        if copies.is_empty() {
+            return Answer::Held(Box::new(held));
+        }
+        let by_position = copies.into_iter().map(|copied| (copied.position, copied));
+        held.samples.extend(by_position);
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/rollout/copies.rs
@@ -0,0 +1,198 @@
+//! What an instance holds for the coordinators of other instances.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use crate::{
+    rollout::{
+        step::samples_of,
+        Copied,
+        Epoch,
+        Reply, //
+    },
+    wire::OpenStep, //
+};
+
+/// Bytes of copies that one instance holds at most.
+const LIMIT_BYTES: u64 = 192 << 20;
+
+/// Copies that nobody touched for this long are dropped; longer than a coordinator keeps a step.
+const EXPIRY_MS: u64 = 1_200_000;
+
+/// Bytes that a copy takes besides its text.
+const SAMPLE_BYTES: u64 = 256;
+
+/// One held step.
+#[derive(Clone, Debug)]
+pub(crate) struct HeldStep {
+    pub(crate) step: Arc<OpenStep>,
+    pub(crate) epoch: Epoch,
+    pub(crate) coordinator: Arc<str>,
+    pub(crate) samples: BTreeMap<u32, Copied>,
+    pub(crate) sealed: Option<u64>,
+    touched_ms: u64,
+}
+
+/// All held steps, bounded in memory.
+#[derive(Debug, Default)]
+pub(crate) struct Copies {
+    held: BTreeMap<(Arc<str>, u64), HeldStep>,
+    bytes: u64,
+}
+
+impl Copies {
+    /// Starts to hold a step, or goes on with it under a new coordinator.
+    pub(crate) fn hold(
+        &mut self,
+        from: &Arc<str>,
+        trainer: &Arc<str>,
+        epoch: Epoch,
+        step: Arc<OpenStep>,
+        now_ms: u64,
+    ) -> Reply {
+        self.expire(now_ms);
+        let name = (trainer.clone(), step.step);
+        let Some(known) = self.held.get_mut(&name) else {
+            let mut fresh = HeldStep::new(step, epoch, from.clone(), None);
+            fresh.touched_ms = now_ms;
+            self.held.insert(name, fresh);
+            return Reply::Taken;
+        };
+        if !known.yields_to(from, epoch) {
+            return Reply::Superseded;
+        }
+        // A new coordinator recovered what was here; it sends again what it goes on with.
+        let freed = known.bytes();
+        known.samples.clear();
+        known.sealed = None;
+        known.step = step;
+        known.epoch = epoch;
+        known.coordinator = from.clone();
+        known.touched_ms = now_ms;
+        self.bytes -= freed;
+        Reply::Taken
+    }
+
+    /// Takes copies of finished samples.
+    pub(crate) fn copy(
+        &mut self,
+        from: &Arc<str>,
+        trainer: &Arc<str>,
+        step: u64,
+        epoch: Epoch,
+        samples: &[Copied],
+        now_ms: u64,
+    ) -> Reply {
+        let bytes = &mut self.bytes;
+        let Some(known) = self.held.get_mut(&(trainer.clone(), step)) else {
+            return Reply::NotOpen;
+        };
+        if known.epoch != epoch || known.coordinator != *from {
+            return Reply::Superseded;
+        }
+        let incoming: u64 = samples.iter().map(bytes_of).sum();
+        if *bytes + incoming > LIMIT_BYTES {
+            return Reply::Refused("the copies held here are at their limit: ask another".into());
+        }
+        known.touched_ms = now_ms;
+        known.sealed = None;
+        for copied in samples {
+            if copied.position >= samples_of(&known.step) {
+                continue;
+            }
+            *bytes += bytes_of(copied);
+            let old = known.samples.insert(copied.position, copied.clone());
+            *bytes -= old.as_ref().map_or(0, bytes_of);
+        }
+        Reply::Taken
+    }
+
+    /// Fixes the batch, or says what is missing for it.
+    pub(crate) fn seal(
+        &mut self,
+        from: &Arc<str>,
+        trainer: &Arc<str>,
+        step: u64,
+        epoch: Epoch,
+        newest_version: u64,
+        draws: &[u32],
+    ) -> Reply {
+        let Some(known) = self.held.get_mut(&(trainer.clone(), step)) else {
+            return Reply::NotOpen;
+        };
+        if known.epoch != epoch || known.coordinator != *from {
+            return Reply::Superseded;
+        }
+        let missing: Vec<u32> = (0u32..)
+            .zip(draws)
+            .filter(|(position, draw)| {
+                let held = known.samples.get(position).map(|copied| copied.draw);
+                held != Some(**draw)
+            })
+            .map(|(position, _)| position)
+            .collect();
+        if !missing.is_empty() {
+            return Reply::Missing(missing);
+        }
+        known.sealed = Some(newest_version);
+        Reply::Taken
+    }
+
+    /// Forgets a step.
+    pub(crate) fn forget(&mut self, trainer: &Arc<str>, step: u64) {
+        if let Some(held) = self.held.remove(&(trainer.clone(), step)) {
+            self.bytes -= held.bytes();
+        }
+    }
+
+    /// What is held of a step.
+    pub(crate) fn get(&self, trainer: &Arc<str>, step: u64) -> Option<&HeldStep> {
+        self.held.get(&(trainer.clone(), step))
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        let old = |held: &HeldStep| now_ms.saturating_sub(held.touched_ms) > EXPIRY_MS;
+        let freed: u64 = self
+            .held
+            .values()
+            .filter(|h| old(h))
+            .map(HeldStep::bytes)
+            .sum();
+        self.held.retain(|_, held| !old(held));
+        self.bytes -= freed;
+    }
+}
+
+impl HeldStep {
+    /// A held step without samples.
+    pub(crate) fn new(
+        step: Arc<OpenStep>,
+        epoch: Epoch,
+        coordinator: Arc<str>,
+        sealed: Option<u64>,
+    ) -> Self {
+        Self {
+            step,
+            epoch,
+            coordinator,
+            samples: BTreeMap::new(),
+            sealed,
+            touched_ms: 0,
+        }
+    }
+
+    /// Whether the holder listens to this coordinator from now on.
+    fn yields_to(&self, from: &Arc<str>, epoch: Epoch) -> bool {
+        epoch > self.epoch || (epoch == self.epoch && *from == self.coordinator)
+    }
+
+    fn bytes(&self) -> u64 {
+        self.samples.values().map(bytes_of).sum()
+    }
+}
+
+fn bytes_of(copied: &Copied) -> u64 {
+    copied.sample.text.len() as u64 + SAMPLE_BYTES
+}
--- /dev/null
+++ b/flamingoscale/src/rollout/core/tests.rs
@@ -0,0 +1,345 @@
+//! Tests of the coordinator's decisions, one failure each.
+
+use super::*;
+
+fn trainer() -> Arc<str> {
+    "notes".into()
+}
+
+fn contents(groups: usize, samples_per_group: u16) -> Arc<OpenStep> {
+    let prompts = (0..groups).map(|group| format!("prompt {group}").into());
+    Arc::new(OpenStep {
+        step: 1,
+        prompts: prompts.collect(),
+        samples_per_group,
+        max_tokens: 100,
+        staleness_bound: 1,
+        deadline_ms: 10_000,
+        scoring: None,
+    })
+}
+
+fn facts(newest_version: u64) -> TrainerFacts {
+    TrainerFacts {
+        newest_version,
+        staleness_bound: 1,
+        share: Share {
+            slots: 64,
+            weight: 1,
+            weights: 1,
+        },
+    }
+}
+
+/// A core with one open step, and the tries that it started.
+fn opened(contents: &Arc<OpenStep>) -> (Core, StepKey, Vec<Draw>) {
+    let mut core = Core::default();
+    core.set_facts(&trainer(), facts(5), 0);
+    let Opening::Open(key) = core.open(&trainer(), contents.clone(), 1, 0) else {
+        panic!("the step is small");
+    };
+    core.tick(true, 0);
+    let draws = started(&mut core);
+    (core, key, draws)
+}
+
+fn started(core: &mut Core) -> Vec<Draw> {
+    let actions = core.take_actions().into_iter();
+    let draws = actions.filter_map(|action| match action {
+        Action::Start(draw) => Some(draw),
+        _ => None,
+    });
+    draws.collect()
+}
+
+fn generated(version: u64) -> Ended {
+    Ended::Generated(Generated {
+        text: format!("by {version}"),
+        tokens: 10,
+        versions: vec![VersionSpan {
+            version,
+            tokens: 10,
+        }],
+    })
+}
+
+/// Brings the copies of all finished samples to the holder.
+fn copy_all(core: &mut Core, key: StepKey) {
+    let copies = core.pending_copies(key, usize::MAX);
+    let draws: Vec<(u32, u32)> = copies.iter().map(|c| (c.position, c.draw)).collect();
+    core.copied(key, &draws);
+}
+
+fn finish_all(core: &mut Core, key: StepKey, draws: &[Draw], version: u64) {
+    for draw in draws {
+        core.ended(draw.key, generated(version), 1_000);
+    }
+    copy_all(core, key);
+}
+
+fn batch(core: &mut Core, key: StepKey) -> Arc<Batch> {
+    core.fetch(key, 1_000).expect("the step is open")
+}
+
+#[test]
+fn a_batch_has_every_sample_once_in_order() {
+    let (mut core, key, draws) = opened(&contents(3, 2));
+    assert_eq!(draws.len(), 6);
+    for draw in draws.iter().rev() {
+        core.ended(draw.key, generated(5), 1_000);
+    }
+    copy_all(&mut core, key);
+    core.tick(true, 1_000);
+    core.sealed(key, true);
+    let batch = batch(&mut core, key);
+    let ids: Vec<(u32, u16)> = batch.samples.iter().map(|s| (s.group, s.index)).collect();
+    assert_eq!(ids, [(0, 0), (0, 1), (1, 0), (1, 1), (2, 0), (2, 1)]);
+    assert!(batch.complete);
+    assert_eq!(batch.newest_version, 5);
+}
+
+#[test]
+fn a_sample_counts_only_once_its_copy_is_held() {
+    let (mut core, key, draws) = opened(&contents(1, 1));
+    core.ended(draws[0].key, generated(5), 1_000);
+    core.tick(true, 1_000);
+    assert_eq!(batch(&mut core, key).finished, 0);
+    copy_all(&mut core, key);
+    assert_eq!(batch(&mut core, key).finished, 1);
+}
+
+#[test]
+fn opening_again_changes_nothing_and_other_contents_are_refused() {
+    let step = contents(2, 2);
+    let (mut core, key, _) = opened(&step);
+    assert_eq!(core.open(&trainer(), step, 1, 5), Opening::Open(key));
+    let other = core.open(&trainer(), contents(2, 3), 1, 5);
+    assert_eq!(other, Opening::Conflict);
+    assert_eq!(started(&mut core).len(), 0);
+}
+
+#[test]
+fn unknown_versions_are_drawn_again() {
+    let (mut core, key, draws) = opened(&contents(1, 1));
+    let cut_short = Ended::Generated(Generated {
+        text: "text".into(),
+        tokens: 10,
+        versions: vec![VersionSpan {
+            version: 5,
+            tokens: 9,
+        }],
+    });
+    core.ended(draws[0].key, cut_short, 100);
+    assert_eq!(core.costs().unknown_versions, 1);
+    core.tick(true, 100 + REDRAW_MS);
+    let again = started(&mut core);
+    assert_eq!(again.len(), 1);
+    assert_eq!(again[0].sample, draws[0].sample);
+    finish_all(&mut core, key, &again, 5);
+    assert_eq!(batch(&mut core, key).finished, 1);
+}
+
+#[test]
+fn what_grew_stale_while_the_step_ran_is_drawn_again() {
+    let (mut core, key, draws) = opened(&contents(2, 1));
+    core.ended(draws[0].key, generated(4), 1_000);
+    core.published(&trainer(), 6, 1_100);
+    core.ended(draws[1].key, generated(6), 1_200);
+    copy_all(&mut core, key);
+    core.tick(true, 1_300);
+    assert!(!batch(&mut core, key).complete);
+    assert_eq!(core.costs().stale, 1);
+    core.tick(true, 1_400);
+    let again = started(&mut core);
+    assert_eq!(again.len(), 1);
+    assert!(again[0].oldest_version >= 5);
+    finish_all(&mut core, key, &again, 6);
+    core.tick(true, 1_500);
+    core.sealed(key, true);
+    let batch = batch(&mut core, key);
+    assert!(batch.complete);
+    assert_eq!(batch.newest_version, 6);
+}
+
+#[test]
+fn a_batch_does_not_close_on_a_view_that_may_be_old() {
+    let (mut core, key, draws) = opened(&contents(1, 1));
+    finish_all(&mut core, key, &draws, 5);
+    core.take_actions();
+    core.tick(false, 1_000);
+    assert_eq!(core.take_actions(), []);
+    core.tick(true, 1_100);
+    assert_eq!(core.take_actions(), [Action::Hold(key)]);
+}
+
+#[test]
+fn a_failed_seal_closes_nothing() {
+    let (mut core, key, draws) = opened(&contents(1, 1));
+    finish_all(&mut core, key, &draws, 5);
+    core.tick(true, 1_000);
+    core.sealed(key, false);
+    assert!(!batch(&mut core, key).complete);
+    core.published(&trainer(), 9, 1_100);
+    core.tick(true, 1_200);
+    assert_eq!(core.costs().stale, 1);
+}
+
+#[test]
+fn a_straggler_gets_a_second_try_and_the_loser_is_cancelled() {
+    let (mut core, key, draws) = opened(&contents(8, 1));
+    let slow = &draws[0];
+    core.started(slow.key, EndpointKey(7), 0);
+    for draw in &draws[1..] {
+        core.started(draw.key, EndpointKey(1), 0);
+        core.ended(draw.key, generated(5), 100);
+    }
+    core.progressed(slow.key, 3, 10_000);
+    core.tick(true, 10_000);
+    let second = started(&mut core);
+    assert_eq!(second.len(), 1);
+    assert_eq!(second[0].sample, slow.sample);
+    assert_eq!(second[0].avoid, [EndpointKey(7)]);
+    core.tick(true, 10_050);
+    assert_eq!(started(&mut core).len(), 0);
+    core.ended(second[0].key, generated(5), 10_200);
+    assert!(core.take_actions().contains(&Action::Cancel(slow.key)));
+    assert_eq!(core.costs().tokens_thrown_away, 3);
+    core.ended(slow.key, generated(5), 10_300);
+    assert_eq!(core.costs().late_results, 1);
+    copy_all(&mut core, key);
+    assert_eq!(batch(&mut core, key).finished, 8);
+}
+
+#[test]
+fn a_long_sample_on_a_healthy_engine_gets_no_second_try() {
+    let (mut core, _, draws) = opened(&contents(8, 1));
+    for draw in &draws[1..] {
+        core.started(draw.key, EndpointKey(1), 0);
+        core.ended(draw.key, generated(5), 100);
+    }
+    core.started(draws[0].key, EndpointKey(1), 0);
+    core.progressed(draws[0].key, 1_000, 10_000);
+    core.tick(true, 10_000);
+    assert_eq!(started(&mut core).len(), 0);
+}
+
+#[test]
+fn refusals_shrink_the_window_and_the_sample_waits() {
+    let (mut core, _, draws) = opened(&contents(1, 1));
+    let refused = Ended::Refused {
+        retry_after_ms: 1_000,
+    };
+    core.ended(draws[0].key, refused, 0);
+    core.tick(true, 999);
+    assert_eq!(started(&mut core).len(), 0);
+    core.tick(true, 1_000);
+    assert_eq!(started(&mut core).len(), 1);
+}
+
+#[test]
+fn a_taken_over_step_draws_only_what_is_missing() {
+    let step = contents(2, 2);
+    let (mut old, old_key, draws) = opened(&step);
+    for draw in &draws[..3] {
+        old.ended(draw.key, generated(5), 1_000);
+    }
+    let copies = old.all_copies(old_key);
+    assert!(old.give_up(old_key).is_some());
+    let mut core = Core::default();
+    core.set_facts(&trainer(), facts(5), 0);
+    let Opening::Open(key) = core.open(&trainer(), step, 2, 0) else {
+        panic!("the step is small");
+    };
+    core.adopt(key, copies, None);
+    core.tick(true, 0);
+    let rest = started(&mut core);
+    assert_eq!(rest.len(), 1);
+    assert_eq!(rest[0].sample.position, 3);
+    finish_all(&mut core, key, &rest, 5);
+    core.tick(true, 1_000);
+    core.sealed(key, true);
+    assert_eq!(batch(&mut core, key).samples.len(), 4);
+}
+
+#[test]
+fn a_sealed_batch_survives_its_coordinator_unchanged() {
+    let step = contents(1, 2);
+    let (mut old, old_key, draws) = opened(&step);
+    finish_all(&mut old, old_key, &draws, 5);
+    old.tick(true, 1_000);
+    old.sealed(old_key, true);
+    let before = batch(&mut old, old_key);
+    let copies = old.all_copies(old_key);
+    let mut core = Core::default();
+    core.set_facts(&trainer(), facts(99), 0);
+    let Opening::Open(key) = core.open(&trainer(), step, 2, 0) else {
+        panic!("the step is small");
+    };
+    core.adopt(key, copies, Some(5));
+    core.tick(true, 0);
+    assert_eq!(started(&mut core).len(), 0);
+    assert_eq!(*batch(&mut core, key), *before);
+}
+
+#[test]
+fn an_ended_step_cancels_its_work() {
+    let (mut core, key, draws) = opened(&contents(1, 2));
+    core.end(key);
+    let actions = core.take_actions();
+    assert!(actions.contains(&Action::Cancel(draws[0].key)));
+    assert!(actions.contains(&Action::Cancel(draws[1].key)));
+    assert!(actions.contains(&Action::Forget(key)));
+    assert_eq!(core.fetch(key, 0), None);
+}
+
+#[test]
+fn a_step_that_nobody_asks_for_expires() {
+    let (mut core, key, _) = opened(&contents(1, 1));
+    let expiry_ms = Limits::default().expiry_ms;
+    core.tick(true, expiry_ms);
+    assert!(core.fetch(key, expiry_ms).is_some());
+    core.tick(true, 2 * expiry_ms);
+    assert!(core.step(key).is_some());
+    core.tick(true, 2 * expiry_ms + 1);
+    assert!(core.step(key).is_none());
+}
+
+#[test]
+fn a_step_too_large_is_refused_with_figure_and_remedy() {
+    let mut core = Core::new(Limits {
+        step_bytes: 10_000,
+        all_bytes: 15_000,
+        ..Limits::default()
+    });
+    let Opening::TooLarge(too_large) = core.open(&trainer(), contents(10, 10), 1, 0) else {
+        panic!("the step is too large");
+    };
+    let message = too_large.to_string();
+    assert!(message.contains("10000 are allowed"));
+    assert!(message.contains("fewer samples"));
+    let first = core.open(&trainer(), contents(2, 4), 1, 0);
+    assert!(matches!(first, Opening::Open(_)));
+    let second = core.open(&"other".into(), contents(2, 4), 1, 0);
+    assert!(matches!(second, Opening::TooLarge(TooLarge::Now { .. })));
+}
+
+#[test]
+fn a_score_that_can_not_be_had_leads_to_another_draw() {
+    let mut step = contents(1, 1);
+    Arc::make_mut(&mut step).scoring = Some("judge".into());
+    let (mut core, key, draws) = opened(&step);
+    core.ended(draws[0].key, generated(5), 100);
+    let sample = draws[0].sample;
+    let score = Action::Score { sample, draw: 1 };
+    assert!(core.take_actions().contains(&score));
+    core.scored(sample, 1, None, 200);
+    core.tick(true, 200 + REDRAW_MS);
+    let again = started(&mut core);
+    core.ended(again[0].key, generated(5), 500);
+    core.scored(sample, 1, Some(0.1), 550);
+    core.scored(sample, 2, Some(0.5), 600);
+    copy_all(&mut core, key);
+    core.tick(true, 700);
+    core.sealed(key, true);
+    assert_eq!(batch(&mut core, key).samples[0].score, Some(0.5));
+}
--- /dev/null
+++ b/flamingoscale/src/rollout/driver.rs
@@ -0,0 +1,456 @@
+//! Carries events to the coordinator's core and its actions out.
+//!
+//! The core lives on one traffic thread, with a task for each try and for each step's copies.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::HashMap,
+    fmt::Display,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix_rt::time::{
+    interval,
+    timeout, //
+};
+use tokio::{
+    sync::{
+        mpsc,
+        oneshot,
+        Notify, //
+    },
+    task::JoinHandle,
+    time::MissedTickBehavior, //
+};
+
+use crate::{
+    instance::Instance,
+    rollout::{
+        answer::Answer,
+        arena::{
+            SampleKey,
+            StepKey,
+            TryKey, //
+        },
+        coordinator::{
+            Command,
+            Shared, //
+        },
+        copies::HeldStep,
+        core::{
+            Action,
+            Core,
+            Opening, //
+        },
+        draw,
+        facts::trainer_facts,
+        holder::Holder,
+        recovery,
+        scoring,
+        step::Phase,
+        Message,
+        Reply, //
+    },
+    wire::OpenStep, //
+};
+
+/// Time between two looks at what is due.
+const TICK_MS: u64 = 50;
+
+/// Longest wait for a copy holder before a trainer is told that its step is open.
+const SETTLE_MS: u64 = 1_500;
+
+/// Longest wait of a trainer for its batch in one request.
+const LONGEST_WAIT_MS: u64 = 60_000;
+
+/// The way to the task that keeps a step's copies.
+#[derive(Default)]
+struct HolderTask {
+    wake: Notify,
+    /// The step is over: its holder should forget it.
+    forget: Cell<bool>,
+    /// The step is not coordinated here any more.
+    released: Cell<bool>,
+}
+
+/// A trainer that waits for its batch.
+struct Waiter {
+    step: StepKey,
+    until_ms: u64,
+    answer: oneshot::Sender<Answer>,
+}
+
+/// The core with the tasks that run for it.
+pub(crate) struct Driver {
+    shared: Arc<Shared>,
+    pub(crate) core: RefCell<Core>,
+    tries: RefCell<HashMap<TryKey, JoinHandle<()>>>,
+    holders: RefCell<HashMap<StepKey, Rc<HolderTask>>>,
+    waiters: RefCell<Vec<Waiter>>,
+    /// One step of a trainer is opened or recovered at a time.
+    opening: RefCell<HashMap<Arc<str>, Rc<tokio::sync::Mutex<()>>>>,
+}
+
+impl Driver {
+    /// Runs until no command can come any more.
+    pub(crate) async fn run(shared: Arc<Shared>, mut commands: mpsc::Receiver<Command>) {
+        let driver = Rc::new(Self {
+            shared,
+            core: RefCell::default(),
+            tries: RefCell::default(),
+            holders: RefCell::default(),
+            waiters: RefCell::default(),
+            opening: RefCell::default(),
+        });
+        let mut ticks = interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                command = commands.recv() => match command {
+                    Some(command) => driver.take(command),
+                    None => return,
+                },
+                _ = ticks.tick() => driver.tick(),
+            }
+        }
+    }
+
+    pub(crate) fn instance(&self) -> &Arc<Instance> {
+        &self.shared.instance
+    }
+
+    pub(crate) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Passes one event to the core and carries out what follows.
+    pub(crate) fn event<T>(self: &Rc<Self>, event: impl FnOnce(&mut Core, u64) -> T) -> T {
+        let now_ms = self.instance().now_ms();
+        let mut core = self.core.borrow_mut();
+        let result = event(&mut core, now_ms);
+        let actions = core.take_actions();
+        drop(core);
+        for action in actions {
+            self.carry_out(action);
+        }
+        result
+    }
+
+    /// Adds an event to the time line.
+    pub(crate) fn note(&self, kind: &str, trace: &str, fields: &[(&str, &dyn Display)]) {
+        self.instance().timeline.record(kind, trace, fields);
+        self.instance().metrics.count(kind);
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let view = self.instance().view.load();
+        let fresh = self.instance().view.is_fresh(self.instance().now_ms());
+        self.event(|core, now_ms| {
+            for trainer in core.trainers() {
+                if let Some(facts) = trainer_facts(&view, &trainer) {
+                    core.set_facts(&trainer, facts, now_ms);
+                }
+            }
+            core.tick(fresh, now_ms);
+        });
+        self.answer_due();
+        for holder in self.holders.borrow().values() {
+            holder.wake.notify_one();
+        }
+        self.publish_costs();
+    }
+
+    fn publish_costs(&self) {
+        let costs = self.core.borrow().costs();
+        let levels = [
+            ("rollout.tokens_thrown_away", costs.tokens_thrown_away),
+            ("rollout.late_results", costs.late_results),
+            ("rollout.unknown_versions", costs.unknown_versions),
+            ("rollout.stale", costs.stale),
+            ("rollout.second_tries", costs.second_tries),
+        ];
+        for (kind, value) in levels {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.instance().metrics.set_level(kind, value);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Start(draw) => {
+                let key = draw.key;
+                let task = actix_rt::spawn(draw::run(self.clone(), draw));
+                self.tries.borrow_mut().insert(key, task);
+            }
+            Action::Cancel(key) => {
+                if let Some(task) = self.tries.borrow_mut().remove(&key) {
+                    task.abort();
+                }
+            }
+            Action::Score { sample, draw } => {
+                actix_rt::spawn(scoring::run(self.clone(), sample, draw));
+            }
+            Action::Hold(step) => self.wake_holder(step, |_| ()),
+            Action::Forget(step) => self.wake_holder(step, |task| task.forget.set(true)),
+            Action::Release(step) => {
+                self.wake_holder(step, |task| task.released.set(true));
+                self.holders.borrow_mut().remove(&step);
+            }
+            Action::Wake(step) => self.answer_waiters(step),
+            Action::Note { kind, sample } => self.note_sample(kind, sample),
+        }
+    }
+
+    /// A try's task is over.
+    pub(crate) fn try_is_over(&self, key: TryKey) {
+        self.tries.borrow_mut().remove(&key);
+    }
+
+    fn note_sample(&self, kind: &str, sample: SampleKey) {
+        let trace = self.trace(sample);
+        self.note(kind, &trace, &[]);
+    }
+
+    /// The name of a sample on the time line.
+    pub(crate) fn trace(&self, sample: SampleKey) -> String {
+        let core = self.core.borrow();
+        let Some(step) = core.step(sample.step) else {
+            return String::new();
+        };
+        let (group, index) = step.identity(sample.position);
+        format!("{}/{}/{group}/{index}", step.trainer, step.contents.step)
+    }
+
+    fn wake_holder(&self, step: StepKey, tell: impl FnOnce(&HolderTask)) {
+        if let Some(holder) = self.holders.borrow().get(&step) {
+            tell(holder);
+            holder.wake.notify_one();
+        }
+    }
+
+    /// Starts the task that keeps the copies of a step.
+    fn start_holder(self: &Rc<Self>, step: StepKey) -> oneshot::Receiver<()> {
+        let (settled, is_settled) = oneshot::channel();
+        let task = Rc::new(HolderTask::default());
+        self.holders.borrow_mut().insert(step, task.clone());
+        let Some(mut holder) = Holder::new(self.clone(), step) else {
+            return is_settled;
+        };
+        actix_rt::spawn(async move {
+            holder.settle().await;
+            // The opening trainer may have gone away.
+            let _ = settled.send(());
+            while !task.released.get() {
+                task.wake.notified().await;
+                holder.serve().await;
+            }
+            if task.forget.get() {
+                holder.forget().await;
+            }
+        });
+        is_settled
+    }
+
+    fn take(self: &Rc<Self>, command: Command) {
+        let driver = self.clone();
+        actix_rt::spawn(async move { driver.answer(command).await });
+    }
+
+    async fn answer(self: Rc<Self>, command: Command) {
+        let answer = match command.message {
+            Message::Open { trainer, step } => self.open(trainer, Arc::from(step)).await,
+            Message::Fetch {
+                trainer,
+                step,
+                wait_ms,
+            } => {
+                let found = self.find(&trainer, step).await;
+                return self.fetch(found, wait_ms, command.answer);
+            }
+            Message::End { trainer, step } => self.end(&trainer, step).await,
+            Message::Published { trainer, version } => {
+                self.event(|core, now_ms| core.published(&trainer, version, now_ms));
+                Answer::Reply(Reply::Taken)
+            }
+            Message::Recover { trainer, step } => self.hand_over(&trainer, step),
+            _ => Answer::Stopped,
+        };
+        // Whoever asked may have gone away.
+        let _ = command.answer.send(answer);
+    }
+
+    async fn open(self: &Rc<Self>, trainer: Arc<str>, contents: Arc<OpenStep>) -> Answer {
+        let lock = self.opening_lock(&trainer);
+        let _one_at_a_time = lock.lock().await;
+        let known = self.core.borrow().find(&trainer, contents.step);
+        let recovered = match known {
+            Some(_) => None,
+            None => recovery::recover(self, &trainer, contents.step).await,
+        };
+        let (opening, settled) = match recovered {
+            Some(held) if held.step != contents => (Opening::Conflict, None),
+            Some(held) => self.adopt(&trainer, held),
+            None => self.open_here(&trainer, contents, 1),
+        };
+        if let Some(settled) = settled {
+            let _ = timeout(Duration::from_millis(SETTLE_MS), settled).await;
+        }
+        Answer::Reply(match opening {
+            Opening::Open(_) => Reply::Opened,
+            Opening::Conflict => Reply::Conflict,
+            Opening::TooLarge(too_large) => Reply::Refused(too_large.to_string()),
+        })
+    }
+
+    fn open_here(
+        self: &Rc<Self>,
+        trainer: &Arc<str>,
+        contents: Arc<OpenStep>,
+        epoch: u64,
+    ) -> (Opening, Option<oneshot::Receiver<()>>) {
+        let opening = self.event(|core, now_ms| core.open(trainer, contents, epoch, now_ms));
+        let Opening::Open(key) = opening else {
+            return (opening, None);
+        };
+        if self.holders.borrow().contains_key(&key) {
+            return (opening, None);
+        }
+        self.note("step.open", trainer, &[("epoch", &epoch)]);
+        let settled = self.start_holder(key);
+        (opening, Some(settled))
+    }
+
+    fn adopt(
+        self: &Rc<Self>,
+        trainer: &Arc<str>,
+        held: HeldStep,
+    ) -> (Opening, Option<oneshot::Receiver<()>>) {
+        let (opening, settled) = self.open_here(trainer, held.step, held.epoch + 1);
+        if let Opening::Open(key) = opening {
+            let found = held.samples.len();
+            self.note("step.take_over", trainer, &[("samples", &found)]);
+            let copies = held.samples.into_values().collect();
+            self.event(|core, _| core.adopt(key, copies, held.sealed));
+            let step = self.core.borrow().step(key).map(|step| step.contents.step);
+            self.shared
+                .copies()
+                .forget(trainer, step.unwrap_or_default());
+        }
+        (opening, settled)
+    }
+
+    /// Finds a step here, or takes it over from where it is held.
+    async fn find(self: &Rc<Self>, trainer: &Arc<str>, step: u64) -> Option<StepKey> {
+        let lock = self.opening_lock(trainer);
+        let _one_at_a_time = lock.lock().await;
+        let known = self.core.borrow().find(trainer, step);
+        if known.is_some() {
+            return known;
+        }
+        let held = recovery::recover(self, trainer, step).await?;
+        match self.adopt(trainer, held) {
+            (Opening::Open(key), _) => Some(key),
+            _ => None,
+        }
+    }
+
+    fn opening_lock(&self, trainer: &Arc<str>) -> Rc<tokio::sync::Mutex<()>> {
+        let mut locks = self.opening.borrow_mut();
+        locks.entry(trainer.clone()).or_default().clone()
+    }
+
+    fn fetch(
+        self: &Rc<Self>,
+        found: Option<StepKey>,
+        wait_ms: u64,
+        answer: oneshot::Sender<Answer>,
+    ) {
+        let fetched = found.and_then(|key| self.event(|core, now_ms| core.fetch(key, now_ms)));
+        let (Some(step), Some(batch)) = (found, fetched) else {
+            let _ = answer.send(Answer::Reply(Reply::NotOpen));
+            return;
+        };
+        if batch.complete || wait_ms == 0 {
+            let _ = answer.send(Answer::Batch(batch));
+            return;
+        }
+        let until_ms = self.instance().now_ms() + wait_ms.min(LONGEST_WAIT_MS);
+        self.waiters.borrow_mut().push(Waiter {
+            step,
+            until_ms,
+            answer,
+        });
+    }
+
+    async fn end(self: &Rc<Self>, trainer: &Arc<str>, step: u64) -> Answer {
+        let known = self.core.borrow().find(trainer, step);
+        match known {
+            Some(key) => {
+                self.note("step.end", trainer, &[("step", &step)]);
+                self.event(|core, _| core.end(key));
+                self.shared.copies().forget(trainer, step);
+            }
+            None => recovery::forget(self, trainer, step),
+        }
+        Answer::Reply(Reply::Taken)
+    }
+
+    /// Gives what is here of a step to the instance that takes it over.
+    fn hand_over(self: &Rc<Self>, trainer: &Arc<str>, step: u64) -> Answer {
+        let known = self.core.borrow().find(trainer, step);
+        let given_up = known.and_then(|key| {
+            self.event(|core, _| {
+                let copies = core.all_copies(key);
+                core.give_up(key).map(|step| (step, copies))
+            })
+        });
+        let Some((given_up, copies)) = given_up else {
+            let held = self.shared.copies().get(trainer, step).cloned();
+            return match held {
+                Some(held) => Answer::Held(Box::new(held)),
+                None => Answer::Reply(Reply::NotOpen),
+            };
+        };
+        self.note("step.hand_over", trainer, &[("step", &step)]);
+        let sealed = match &given_up.phase {
+            Phase::Closed(batch) => Some(batch.newest_version),
+            _ => None,
+        };
+        let own = self.instance().id().clone();
+        let mut held = HeldStep::new(given_up.contents, given_up.epoch, own, sealed);
+        let by_position = copies.into_iter().map(|copied| (copied.position, copied));
+        held.samples.extend(by_position);
+        Answer::Held(Box::new(held))
+    }
+
+    fn answer_waiters(self: &Rc<Self>, step: StepKey) {
+        self.answer_where(|waiter| waiter.step == step);
+    }
+
+    fn answer_due(self: &Rc<Self>) {
+        let now_ms = self.instance().now_ms();
+        let draining = self.instance().is_draining();
+        self.answer_where(|waiter| draining || waiter.until_ms <= now_ms);
+    }
+
+    fn answer_where(self: &Rc<Self>, due: impl Fn(&Waiter) -> bool) {
+        let mut waiters = self.waiters.borrow_mut();
+        let (ready, waiting): (Vec<Waiter>, Vec<Waiter>) = waiters.drain(..).partition(due);
+        *waiters = waiting;
+        drop(waiters);
+        for waiter in ready {
+            let core = self.core.borrow();
+            let answer = match core.step(waiter.step) {
+                Some(step) => Answer::Batch(step.batch()),
+                None => Answer::Reply(Reply::NotOpen),
+            };
+            // The trainer may have gone away.
+            let _ = waiter.answer.send(answer);
+        }
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/rollout/holder.rs
@@ -0,0 +1,328 @@
+//! Gets copies of finished samples to an instance in another failure domain.
+//!
+//! One task for each step: it sends what has piled up since its last message, so copies are
+//! batched by themselves, and it moves to the next instance when the holder does not answer.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix_rt::time::{
+    sleep,
+    timeout, //
+};
+
+use crate::{
+    peer::{
+        PeerReply,
+        PeerRequest, //
+    },
+    rollout::{
+        arena::StepKey,
+        driver::Driver,
+        placement,
+        step::Phase,
+        Copied,
+        Epoch,
+        Message,
+        Reply, //
+    },
+    view::Member,
+    wire::OpenStep, //
+};
+
+/// Longest wait for a holder's answer.
+const ANSWER_MS: u64 = 2_000;
+
+/// Wait before the next holder is tried.
+const RETRY_MS: u64 = 200;
+
+/// Bytes of text in one message of copies.
+pub(crate) const MESSAGE_BYTES: usize = 256 << 10;
+
+/// The copies of one step.
+pub(crate) struct Holder {
+    driver: Rc<Driver>,
+    key: StepKey,
+    trainer: Arc<str>,
+    contents: Arc<OpenStep>,
+    epoch: Epoch,
+    current: Option<Member>,
+    /// Holders that did not answer, not to be tried before the others.
+    failed: Vec<Arc<str>>,
+}
+
+/// What a step waits for.
+enum Need {
+    Copies(Vec<Copied>),
+    Seal(u64, Vec<u32>),
+    Settle,
+    Nothing,
+}
+
+impl Holder {
+    /// The copies of a step that was just opened.
+    pub(crate) fn new(driver: Rc<Driver>, key: StepKey) -> Option<Self> {
+        let core = driver.core.borrow();
+        let step = core.step(key)?;
+        let (trainer, contents, epoch) = (step.trainer.clone(), step.contents.clone(), step.epoch);
+        drop(core);
+        Some(Self {
+            driver,
+            key,
+            trainer,
+            contents,
+            epoch,
+            current: None,
+            failed: Vec::new(),
+        })
+    }
+
+    /// Does what the step waits for.
+    pub(crate) async fn serve(&mut self) {
+        loop {
+            self.check_holder();
+            match self.need() {
+                Need::Nothing => return,
+                Need::Settle => self.settle_again().await,
+                Need::Copies(copies) => self.send_copies(copies).await,
+                Need::Seal(newest_version, draws) => self.seal(newest_version, draws).await,
+            }
+        }
+    }
+
+    /// Has the step's contents held elsewhere, where there is an elsewhere.
+    pub(crate) async fn settle(&mut self) -> bool {
+        if self.current.is_some() {
+            return true;
+        }
+        let Some(member) = self.next_holder() else {
+            return self.is_alone();
+        };
+        let message = Message::Hold {
+            trainer: self.trainer.clone(),
+            epoch: self.epoch,
+            step: self.contents.clone(),
+        };
+        match self.ask(&member, message).await {
+            Some(Reply::Taken) => {
+                self.current = Some(member);
+                self.send_again().await
+            }
+            Some(Reply::Superseded) => {
+                self.superseded();
+                false
+            }
+            _ => {
+                self.fail(&member.instance);
+                false
+            }
+        }
+    }
+
+    async fn settle_again(&mut self) {
+        if !self.settle().await {
+            sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+
+    /// Lets go of a holder that is no member any more.
+    fn check_holder(&mut self) {
+        let gone = |holder: &Member| !self.is_member(&holder.instance);
+        if let Some(lost) = self.current.clone().filter(gone) {
+            self.fail(&lost.instance);
+        }
+    }
+
+    /// A new holder gets what counts already.
+    async fn send_again(&mut self) -> bool {
+        let held = self.driver.core.borrow().full_copies(self.key);
+        for copies in chunks(held) {
+            if !self.send(copies).await {
+                return false;
+            }
+        }
+        true
+    }
+
+    async fn send_copies(&mut self, copies: Vec<Copied>) {
+        if !self.settle().await {
+            sleep(Duration::from_millis(RETRY_MS)).await;
+            return;
+        }
+        let draws: Vec<(u32, u32)> = copies.iter().map(|c| (c.position, c.draw)).collect();
+        if !self.send(copies).await {
+            sleep(Duration::from_millis(RETRY_MS)).await;
+            return;
+        }
+        let key = self.key;
+        self.driver.event(|core, _| core.copied(key, &draws));
+    }
+
+    async fn send(&mut self, samples: Vec<Copied>) -> bool {
+        let Some(member) = self.current.clone() else {
+            return true;
+        };
+        let message = Message::Copy {
+            trainer: self.trainer.clone(),
+            step: self.contents.step,
+            epoch: self.epoch,
+            samples,
+        };
+        match self.ask(&member, message).await {
+            Some(Reply::Taken) => true,
+            Some(Reply::Superseded) => {
+                self.superseded();
+                false
+            }
+            _ => {
+                self.fail(&member.instance);
+                false
+            }
+        }
+    }
+
+    async fn seal(&mut self, newest_version: u64, draws: Vec<u32>) {
+        let held = self.settle().await && self.try_seal(newest_version, draws).await;
+        let key = self.key;
+        self.driver.event(|core, _| core.sealed(key, held));
+        if !held {
+            sleep(Duration::from_millis(RETRY_MS)).await;
+        }
+    }
+
+    async fn try_seal(&mut self, newest_version: u64, draws: Vec<u32>) -> bool {
+        let Some(member) = self.current.clone() else {
+            return true;
+        };
+        let message = Message::Seal {
+            trainer: self.trainer.clone(),
+            step: self.contents.step,
+            epoch: self.epoch,
+            newest_version,
+            draws,
+        };
+        match self.ask(&member, message).await {
+            Some(Reply::Taken) => return true,
+            Some(Reply::Missing(_)) => {
+                self.send_again().await;
+            }
+            Some(Reply::Superseded) => self.superseded(),
+            _ => self.fail(&member.instance),
+        }
+        false
+    }
+
+    /// Tells the holder that the step is over.
+    pub(crate) async fn forget(&mut self) {
+        if let Some(member) = self.current.take() {
+            let message = Message::Forget {
+                trainer: self.trainer.clone(),
+                step: self.contents.step,
+            };
+            self.ask(&member, message).await;
+        }
+    }
+
+    fn need(&self) -> Need {
+        let core = self.driver.core.borrow();
+        let Some(step) = core.step(self.key) else {
+            return Need::Nothing;
+        };
+        let copies = core.pending_copies(self.key, MESSAGE_BYTES);
+        if !copies.is_empty() {
+            return Need::Copies(copies);
+        }
+        match &step.phase {
+            Phase::Sealing { newest_version } => Need::Seal(*newest_version, step.draws()),
+            Phase::Closed(batch) if !step.sealed => Need::Seal(batch.newest_version, step.draws()),
+            _ if self.current.is_none() && !self.is_alone() => Need::Settle,
+            _ => Need::Nothing,
+        }
+    }
+
+    async fn ask(&self, member: &Member, message: Message) -> Option<Reply> {
+        let peers = self.driver.instance().peers()?;
+        let stream = peers.open(
+            &member.instance,
+            &member.peer_address,
+            PeerRequest::Rollout(message),
+        );
+        let answer = stream.single(&member.instance);
+        match timeout(Duration::from_millis(ANSWER_MS), answer).await {
+            Ok(Ok(PeerReply::Rollout(reply))) => Some(reply),
+            _ => None,
+        }
+    }
+
+    fn next_holder(&mut self) -> Option<Member> {
+        let view = self.driver.instance().view.load();
+        let own = self.driver.instance().id();
+        let holders = placement::holders(&view.members, &self.trainer, own);
+        let untried = |member: &&Member| !self.failed.contains(&member.instance);
+        let next = holders.iter().find(untried).cloned();
+        if next.is_none() {
+            self.failed.clear();
+        }
+        next.or_else(|| holders.into_iter().next())
+    }
+
+    fn is_alone(&self) -> bool {
+        let view = self.driver.instance().view.load();
+        let own = self.driver.instance().id();
+        view.members.iter().all(|member| member.instance == *own)
+    }
+
+    fn is_member(&self, instance: &Arc<str>) -> bool {
+        let view = self.driver.instance().view.load();
+        view.members.iter().any(|m| m.instance == *instance)
+    }
+
+    /// The holder may have taken the message though its answer was lost. A higher epoch marks
+    /// what the next holder gets as newer.
+    fn fail(&mut self, instance: &Arc<str>) {
+        self.driver.note(
+            "copies.holder_failed",
+            &self.trainer,
+            &[("holder", instance)],
+        );
+        self.failed.push(instance.clone());
+        self.current = None;
+        self.epoch += 1;
+        let (key, epoch) = (self.key, self.epoch);
+        self.driver.event(|core, _| core.holder_lost(key, epoch));
+    }
+
+    fn superseded(&mut self) {
+        self.driver.note(
+            "step.superseded",
+            &self.trainer,
+            &[("step", &self.contents.step)],
+        );
+        let key = self.key;
+        self.driver.event(|core, _| {
+            core.give_up(key);
+        });
+    }
+}
+
+/// Cuts copies into messages of a bounded size.
+pub(crate) fn chunks(copies: Vec<Copied>) -> Vec<Vec<Copied>> {
+    let mut messages = Vec::new();
+    let mut message = Vec::new();
+    let mut bytes = 0;
+    for copied in copies {
+        bytes += copied.sample.text.len();
+        message.push(copied);
+        if bytes >= MESSAGE_BYTES {
+            messages.push(std::mem::take(&mut message));
+            bytes = 0;
+        }
+    }
+    if !message.is_empty() {
+        messages.push(message);
+    }
+    messages
+}
--- /dev/null
+++ b/flamingoscale/src/rollout/placement.rs
@@ -0,0 +1,98 @@
+//! Which instance coordinates a trainer's steps, and which ones hold their copies.
+
+use std::{
+    cmp::Reverse,
+    sync::Arc, //
+};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::view::Member;
+
+/// The weight of an instance for a trainer; the highest wins.
+fn score(trainer: &str, instance: &str) -> u64 {
+    let seed = xxh3_64_with_seed(trainer.as_bytes(), 0);
+    xxh3_64_with_seed(instance.as_bytes(), seed)
+}
+
+/// The members that take part, the first choice for `trainer` first.
+///
+/// A member that leaves comes last: it gets nothing new but may still hold something.
+pub(crate) fn ranked<'view>(members: &'view [Member], trainer: &str) -> Vec<&'view Member> {
+    let mut ranked: Vec<&Member> = members.iter().collect();
+    ranked.sort_by_key(|member| {
+        let rank = Reverse(score(trainer, &member.instance));
+        (member.leaving, rank)
+    });
+    ranked
+}
+
+/// The coordinator of a trainer: the first choice of the members that stay.
+pub(crate) fn coordinator<'view>(members: &'view [Member], trainer: &str) -> Option<&'view Member> {
+    let staying = members.iter().filter(|member| !member.leaving);
+    staying.max_by_key(|member| score(trainer, &member.instance))
+}
+
+/// Where `coordinator` may put its copies, the best first: other failure domains, and others of
+/// its own only where there is no other domain. Ranked as for coordinators, so that a successor
+/// is likely to hold the copies itself.
+pub(crate) fn holders(members: &[Member], trainer: &str, coordinator: &Arc<str>) -> Vec<Member> {
+    let own = members
+        .iter()
+        .find(|member| member.instance == *coordinator)
+        .map(|member| member.failure_domain.clone());
+    let others: Vec<&Member> = ranked(members, trainer)
+        .into_iter()
+        .filter(|member| member.instance != *coordinator && !member.leaving)
+        .collect();
+    let apart = |member: &&&Member| Some(&member.failure_domain) != own.as_ref();
+    let elsewhere: Vec<Member> = others.iter().filter(apart).map(|m| (*m).clone()).collect();
+    if elsewhere.is_empty() {
+        return others.into_iter().cloned().collect();
+    }
+    elsewhere
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn member(instance: &str, failure_domain: &str) -> Member {
+        Member {
+            instance: instance.into(),
+            incarnation: 1,
+            failure_domain: failure_domain.into(),
+            address: "127.0.0.1:1".into(),
+            peer_address: "127.0.0.1:2".into(),
+            leaving: false,
+            suspect: false,
+            revision: 0,
+        }
+    }
+
+    #[test]
+    fn a_leaving_coordinator_hands_over_to_the_next() {
+        let mut members = vec![member("n1", "a"), member("n2", "b"), member("n3", "c")];
+        let first = coordinator(&members, "notes").map(|m| m.instance.clone());
+        for member in &mut members {
+            member.leaving = Some(&member.instance) == first.as_ref();
+        }
+        let second = coordinator(&members, "notes").map(|m| m.instance.clone());
+        assert_ne!(first, second);
+        assert_eq!(
+            ranked(&members, "notes").last().map(|m| m.instance.clone()),
+            first
+        );
+    }
+
+    #[test]
+    fn copies_go_to_another_failure_domain_where_there_is_one() {
+        let members = vec![member("n1", "a"), member("n2", "a"), member("n3", "b")];
+        let own = "n1".into();
+        let chosen = holders(&members, "notes", &own);
+        assert!(chosen.iter().all(|holder| &*holder.failure_domain == "b"));
+        let alone = holders(&members[..2], "notes", &own);
+        assert_eq!(alone.len(), 1);
+        assert_eq!(&*alone[0].instance, "n2");
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/rollout/recovery.rs
@@ -0,0 +1,151 @@
+//! Finds what other instances have of a step whose coordinator is gone.
+
+use std::{
+    rc::Rc,
+    sync::Arc, //
+};
+
+use futures::future::join_all;
+
+use crate::{
+    rollout::{
+        answer::{
+            ask,
+            Answer, //
+        },
+        copies::HeldStep,
+        driver::Driver,
+        placement,
+        Message, //
+    },
+    view::Member, //
+};
+
+/// Members that are asked, the likeliest holders first.
+const ASKED: usize = 16;
+
+/// Longest wait for a member to say that it has something.
+const ANSWER_MS: u64 = 1_000;
+
+/// What was held of a step by whoever held it last, gaps filled from the others.
+pub(crate) async fn recover(
+    driver: &Rc<Driver>,
+    trainer: &Arc<str>,
+    step: u64,
+) -> Option<HeldStep> {
+    let asked = others(driver, trainer);
+    let answers = asked.iter().map(|member| {
+        let message = Message::Recover {
+            trainer: trainer.clone(),
+            step,
+        };
+        ask(driver.instance(), member, message, ANSWER_MS)
+    });
+    let answers = join_all(answers).await;
+    let own = driver.shared().copies().get(trainer, step).cloned();
+    let found = answers.into_iter().filter_map(|answer| match answer {
+        Answer::Held(held) => Some(*held),
+        _ => None,
+    });
+    merge(found.chain(own).collect())
+}
+
+/// Tells all who may hold copies that a step is over.
+pub(crate) fn forget(driver: &Rc<Driver>, trainer: &Arc<str>, step: u64) {
+    driver.shared().copies().forget(trainer, step);
+    for member in others(driver, trainer) {
+        let driver = driver.clone();
+        let trainer = trainer.clone();
+        actix_rt::spawn(async move {
+            let message = Message::Forget { trainer, step };
+            ask(driver.instance(), &member, message, ANSWER_MS).await;
+        });
+    }
+}
+
+fn others(driver: &Rc<Driver>, trainer: &str) -> Vec<Member> {
+    let view = driver.instance().view.load();
+    let ranked = placement::ranked(&view.members, trainer).into_iter();
+    let others = ranked.filter(|member| member.instance != *driver.instance().id());
+    others.take(ASKED).cloned().collect()
+}
+
+/// The newest coordinator's copies, and where it has none, those of the one before.
+fn merge(mut found: Vec<HeldStep>) -> Option<HeldStep> {
+    found.sort_by_key(|held| (held.epoch, held.sealed.is_some(), held.samples.len()));
+    let mut newest = found.pop()?;
+    for older in found.into_iter().rev() {
+        if older.step != newest.step || newest.sealed.is_some() {
+            continue;
+        }
+        for (position, copied) in older.samples {
+            newest.samples.entry(position).or_insert(copied);
+        }
+    }
+    Some(newest)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{
+        rollout::Copied,
+        wire::{
+            OpenStep,
+            Sample, //
+        }, //
+    };
+
+    fn held(epoch: u64, sealed: Option<u64>, samples: &[(u32, &str)]) -> HeldStep {
+        let step = OpenStep {
+            step: 1,
+            prompts: vec!["p".into()],
+            samples_per_group: 4,
+            max_tokens: 8,
+            staleness_bound: 1,
+            deadline_ms: 1_000,
+            scoring: None,
+        };
+        let mut held = HeldStep::new(Arc::new(step), epoch, "n1".into(), sealed);
+        for &(position, text) in samples {
+            let sample = Sample {
+                group: 0,
+                index: position as u16,
+                text: text.into(),
+                tokens: 1,
+                versions: Vec::new(),
+                score: None,
+            };
+            let copied = Copied {
+                position,
+                draw: 1,
+                sample: Arc::new(sample),
+            };
+            held.samples.insert(position, copied);
+        }
+        held
+    }
+
+    #[test]
+    fn the_newest_epoch_wins_and_gaps_are_filled() {
+        let merged = merge(vec![
+            held(2, None, &[(0, "new")]),
+            held(1, None, &[(0, "old"), (1, "kept")]),
+        ]);
+        let texts: Vec<String> = merged
+            .into_iter()
+            .flat_map(|held| held.samples.into_values())
+            .map(|copied| copied.sample.text.clone())
+            .collect();
+        assert_eq!(texts, ["new", "kept"]);
+    }
+
+    #[test]
+    fn a_sealed_batch_stays_as_it_was() {
+        let merged = merge(vec![
+            held(2, Some(5), &[(0, "sealed")]),
+            held(1, None, &[(0, "old"), (1, "later")]),
+        ]);
+        assert_eq!(merged.map(|held| held.samples.len()), Some(1));
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/rollout/step.rs
@@ -0,0 +1,269 @@
+//! One step: its samples, which of them are in, and when its batch may close.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+use crate::{
+    rollout::{
+        arena::TryKey,
+        Copied,
+        Epoch, //
+    },
+    wire::{
+        Batch,
+        OpenStep,
+        Sample,
+        VersionSpan, //
+    }, //
+};
+
+/// Where a sample stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Place {
+    /// To be drawn.
+    #[default]
+    Waiting,
+    /// At least one try runs.
+    Drawing,
+    /// Generated; its score is awaited.
+    Scoring,
+    /// Generated; its copy is not yet with the holder.
+    Copying,
+    /// Counts.
+    Full,
+}
+
+/// One sample.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Slot {
+    pub(crate) place: Place,
+    /// Counts the accepted results; tells a late copy or score from a current one.
+    pub(crate) draw: u32,
+    /// Tries that run.
+    pub(crate) tries: Vec<TryKey>,
+    /// The accepted result.
+    pub(crate) result: Option<Arc<Sample>>,
+}
+
+/// Where a step stands.
+#[derive(Clone, Debug)]
+pub(crate) enum Phase {
+    /// Samples are missing.
+    Drawing,
+    /// All are in; the holder is asked to seal the batch.
+    Sealing {
+        /// The newest version when the batch was put together.
+        newest_version: u64,
+    },
+    /// The batch is fixed.
+    Closed(Arc<Batch>),
+}
+
+/// One step of a trainer.
+#[derive(Debug)]
+pub(crate) struct Step {
+    pub(crate) trainer: Arc<str>,
+    pub(crate) contents: Arc<OpenStep>,
+    pub(crate) epoch: Epoch,
+    pub(crate) opened_ms: u64,
+    /// When the trainer last asked for it.
+    pub(crate) asked_ms: u64,
+    pub(crate) phase: Phase,
+    /// Whether the holder has fixed the batch too.
+    pub(crate) sealed: bool,
+    pub(crate) slots: Vec<Slot>,
+    /// Samples to draw now, in order.
+    pub(crate) waiting: VecDeque<u32>,
+    /// Samples to draw later: when, and which.
+    pub(crate) delayed: Vec<(u64, u32)>,
+    pub(crate) full: u32,
+    pub(crate) text_bytes: u64,
+}
+
+impl Step {
+    /// An open step with nothing drawn.
+    pub(crate) fn new(
+        trainer: Arc<str>,
+        contents: Arc<OpenStep>,
+        epoch: Epoch,
+        now_ms: u64,
+    ) -> Self {
+        let expected = samples_of(&contents);
+        Self {
+            trainer,
+            contents,
+            epoch,
+            opened_ms: now_ms,
+            asked_ms: now_ms,
+            phase: Phase::Drawing,
+            sealed: false,
+            slots: vec![Slot::default(); expected as usize],
+            waiting: (0..expected).collect(),
+            delayed: Vec::new(),
+            full: 0,
+            text_bytes: 0,
+        }
+    }
+
+    /// How many samples the batch has.
+    pub(crate) fn expected(&self) -> u32 {
+        self.slots.len() as u32
+    }
+
+    /// Whether the batch should be whole by now.
+    pub(crate) fn is_late(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.opened_ms) > self.contents.deadline_ms
+    }
+
+    /// Group and index of a position.
+    pub(crate) fn identity(&self, position: u32) -> (u32, u16) {
+        let per_group = u32::from(self.contents.samples_per_group.max(1));
+        (position / per_group, (position % per_group) as u16)
+    }
+
+    /// Whether any sample still has to be drawn and no try runs for it.
+    pub(crate) fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty() || !self.delayed.is_empty()
+    }
+
+    /// Moves samples whose delay is over to those to draw now.
+    pub(crate) fn wake_delayed(&mut self, now_ms: u64) {
+        let due = |&(ready_ms, _): &(u64, u32)| ready_ms <= now_ms;
+        let ready: Vec<u32> = self
+            .delayed
+            .iter()
+            .filter(|d| due(d))
+            .map(|d| d.1)
+            .collect();
+        self.delayed.retain(|d| !due(d));
+        self.waiting.extend(ready);
+    }
+
+    /// Puts a sample back among those to draw.
+    pub(crate) fn draw_again(&mut self, position: u32, ready_ms: u64) {
+        self.slots[position as usize].place = Place::Waiting;
+        self.delayed.push((ready_ms, position));
+    }
+
+    /// Takes in a result for a sample that has none; returns the draw's number.
+    pub(crate) fn accept(&mut self, position: u32, sample: Sample, place: Place) -> u32 {
+        self.text_bytes += sample.text.len() as u64;
+        let slot = &mut self.slots[position as usize];
+        slot.draw += 1;
+        slot.result = Some(Arc::new(sample));
+        slot.place = place;
+        slot.draw
+    }
+
+    /// Throws an accepted result away.
+    pub(crate) fn discard(&mut self, position: u32, ready_ms: u64) {
+        let slot = &mut self.slots[position as usize];
+        if slot.place == Place::Full {
+            self.full -= 1;
+        }
+        if let Some(sample) = slot.result.take() {
+            self.text_bytes -= sample.text.len() as u64;
+        }
+        self.draw_again(position, ready_ms);
+    }
+
+    /// The sample counts from now on.
+    pub(crate) fn fill(&mut self, position: u32) {
+        self.slots[position as usize].place = Place::Full;
+        self.full += 1;
+    }
+
+    /// Takes in what another instance held of this step.
+    pub(crate) fn adopt(&mut self, copies: Vec<Copied>) {
+        for copied in copies {
+            let Some(slot) = self.slots.get_mut(copied.position as usize) else {
+                continue;
+            };
+            if copied.draw <= slot.draw {
+                continue;
+            }
+            let old = slot.result.replace(copied.sample.clone());
+            self.text_bytes += copied.sample.text.len() as u64;
+            self.text_bytes -= old.map_or(0, |old| old.text.len() as u64);
+            slot.draw = copied.draw;
+            slot.place = Place::Copying;
+        }
+        let slots = &self.slots;
+        self.waiting
+            .retain(|&position| slots[position as usize].result.is_none());
+    }
+
+    /// Positions whose sample may not be in a batch that closes at `newest_version`.
+    pub(crate) fn stale(&self, newest_version: u64, bound: u64) -> Vec<u32> {
+        let results = self.slots.iter().enumerate();
+        let stale = results.filter(|(_, slot)| {
+            let versions = slot.result.as_ref().map(|sample| &sample.versions[..]);
+            !versions.is_some_and(|spans| is_fresh(spans, newest_version, bound))
+        });
+        stale.map(|(position, _)| position as u32).collect()
+    }
+
+    /// The draw of each position, by which a holder checks that it has the same batch.
+    pub(crate) fn draws(&self) -> Vec<u32> {
+        self.slots.iter().map(|slot| slot.draw).collect()
+    }
+
+    /// The batch as it stands, without its samples until it is closed.
+    pub(crate) fn batch(&self) -> Arc<Batch> {
+        match &self.phase {
+            Phase::Closed(batch) => batch.clone(),
+            _ => Arc::new(Batch {
+                step: self.contents.step,
+                complete: false,
+                finished: self.full,
+                expected: self.expected(),
+                newest_version: 0,
+                samples: Vec::new(),
+            }),
+        }
+    }
+
+    /// Fixes the batch.
+    pub(crate) fn close(&mut self, newest_version: u64) {
+        let results = self.slots.iter().filter_map(|slot| slot.result.as_deref());
+        let batch = Batch {
+            step: self.contents.step,
+            complete: true,
+            finished: self.expected(),
+            expected: self.expected(),
+            newest_version,
+            samples: results.cloned().collect(),
+        };
+        self.phase = Phase::Closed(Arc::new(batch));
+    }
+}
+
+/// How many samples a step asks for.
+pub(crate) fn samples_of(contents: &OpenStep) -> u32 {
+    contents.prompts.len() as u32 * u32::from(contents.samples_per_group)
+}
+
+/// Whether all versions of a sample are known and none is further behind than the bound.
+pub(crate) fn is_fresh(versions: &[VersionSpan], newest_version: u64, bound: u64) -> bool {
+    let oldest = versions.iter().map(|span| span.version).min();
+    oldest.is_some_and(|oldest| oldest.saturating_add(bound) >= newest_version)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn span(version: u64) -> VersionSpan {
+        VersionSpan { version, tokens: 3 }
+    }
+
+    #[test]
+    fn the_oldest_span_decides_on_staleness() {
+        assert!(is_fresh(&[span(3), span(5)], 5, 2));
+        assert!(!is_fresh(&[span(2), span(5)], 5, 2));
+        assert!(!is_fresh(&[], 0, 2));
+        assert!(is_fresh(&[span(9)], 5, 0));
+    }
+}
