--- a/flamingoscale/src/keys.rs
+++ b/flamingoscale/src/keys.rs
@@ -105,6 +105,11 @@
             .is_some_and(|entry| !entry.withdrawn)
     }
 
+    /// Returns the entry of a key, withdrawn or not.
+    pub fn get(&self, key_id: &str) -> Option<&KeyEntry> {
+        self.entries.get(key_id)
+    }
+
     /// Lists all keys in order of id.
     pub fn iter(&self) -> impl Iterator<Item = &KeyEntry> {
         self.entries.values()
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -29,6 +29,7 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod control;
 pub mod controller;
 pub mod dispatch;
 pub mod engine;
--- /dev/null
+++ b/flamingoscale/src/log/absorb.rs
@@ -0,0 +1,173 @@
+//! From records to state, view and answers.
+
+use bytes::Bytes;
+
+use crate::{
+    log::{
+        actor::LogActor,
+        append::Settled,
+        buffer,
+        events, //
+    },
+    record::{
+        self,
+        Envelope,
+        Record,
+        RecordError, //
+    },
+    state::{
+        snapshot::Chunk,
+        State, //
+    }, //
+};
+
+impl LogActor {
+    /// Folds records, puts the result in force, then tells those who wait for it.
+    pub(crate) fn absorb(&mut self, records: Vec<(u64, Bytes)>) {
+        let mut settled = Vec::new();
+        for (offset, data) in records {
+            let folded = self.folded();
+            if offset > folded {
+                self.instance().metrics.count("log.gap");
+                break;
+            }
+            if offset == folded {
+                settled.extend(self.fold(offset, data));
+            }
+        }
+        self.publish();
+        self.settle(settled);
+        self.answer_pulls();
+    }
+
+    fn fold(&mut self, offset: u64, data: Bytes) -> Option<Settled> {
+        let envelope = match record::decode(&data) {
+            Ok(envelope) => envelope,
+            Err(error) => {
+                self.skip(offset, data, error);
+                return None;
+            }
+        };
+        let result = self.context.state.borrow_mut().fold(offset, &envelope);
+        events::record(&self.instance().timeline, offset, &envelope, result);
+        self.watch_snapshots(&envelope);
+        let is_own = envelope.writer == *self.instance().id()
+            && envelope.incarnation == self.instance().incarnation;
+        let serial = envelope.serial;
+        let kept = buffer::without_snapshot(envelope, &data);
+        self.buffer.push(offset, kept);
+        if !is_own {
+            return None;
+        }
+        self.appender.folded(serial, result.map(|()| offset))
+    }
+
+    /// Passes a record that can't be read; it stays in the buffer, as others must pass it too.
+    fn skip(&mut self, offset: u64, data: Bytes, error: RecordError) {
+        let kind = match error {
+            RecordError::Foreign => "log.foreign_record",
+            RecordError::Newer { .. } => "log.newer_record",
+            _ => "log.damaged_record",
+        };
+        self.instance().metrics.count(kind);
+        let fields: [(&str, &dyn std::fmt::Display); 2] = [("offset", &offset), ("error", &error)];
+        self.instance().timeline.record(kind, "", &fields);
+        self.context.state.borrow_mut().skip(offset);
+        self.buffer.push(offset, data);
+    }
+
+    fn watch_snapshots(&mut self, envelope: &Envelope) {
+        let Record::SnapshotChunk {
+            upto,
+            chunk,
+            chunks,
+            digest,
+            ..
+        } = envelope.record
+        else {
+            return;
+        };
+        if self.watch.chunk(digest, chunk, chunks) {
+            let now_ms = self.instance().now_ms();
+            self.policy.seen(upto, now_ms);
+        }
+    }
+
+    /// Puts the state in force for traffic, with the denials that the log does not hold yet.
+    pub(crate) fn publish(&mut self) {
+        let state = self.context.state.borrow();
+        let mut keys = state.keys.clone();
+        self.denials.settle(&keys, self.is_at_head);
+        self.denials.apply(&mut keys);
+        self.context.instance.view.update(|view| {
+            view.revision = state.revision;
+            view.folded = state.folded;
+            view.configuration = state.configuration.clone();
+            view.keys = keys;
+            view.endpoints = state.endpoints.clone();
+            view.versions = state.versions.clone();
+        });
+        let metrics = &self.context.instance.metrics;
+        metrics.set_level("log.folded", state.folded as i64);
+        metrics.set_level("configuration.revision", state.revision as i64);
+    }
+
+    /// Installs a snapshot, never one that is older than the state that is in force.
+    pub(crate) fn install(&mut self, state: State, origin: &str) -> bool {
+        let folded = self.folded();
+        if state.folded <= folded || state.revision < self.context.state.borrow().revision {
+            self.instance().metrics.count("snapshot.older");
+            return false;
+        }
+        let upto = state.folded;
+        let fields: [(&str, &dyn std::fmt::Display); 2] = [("upto", &upto), ("origin", &origin)];
+        self.instance()
+            .timeline
+            .record("snapshot.installed", "", &fields);
+        self.instance().metrics.count("snapshot.installed");
+        let id = self.instance().id();
+        let last_serial = state.serials.last(id, self.instance().incarnation);
+        *self.context.state.borrow_mut() = state;
+        self.buffer.clear();
+        let passed_over = self.appender.passed_over(last_serial);
+        self.publish();
+        self.settle(passed_over);
+        self.answer_pulls();
+        true
+    }
+
+    /// Looks for a whole snapshot among records that can't be folded, as others before are gone.
+    pub(crate) fn scan(&mut self, records: &[(u64, Bytes)], earliest: u64) -> Option<State> {
+        let mut newest: Option<State> = None;
+        for (_, data) in records {
+            let Ok(envelope) = record::decode(data) else {
+                continue;
+            };
+            let Some(chunk) = snapshot_chunk(envelope.record) else {
+                continue;
+            };
+            let found = self.follower.scanned_chunk(chunk);
+            newest = found.filter(|state| state.folded >= earliest).or(newest);
+        }
+        newest
+    }
+}
+
+fn snapshot_chunk(record: Record) -> Option<Chunk> {
+    match record {
+        Record::SnapshotChunk {
+            upto,
+            chunk,
+            chunks,
+            digest,
+            data,
+        } => Some(Chunk {
+            upto,
+            chunk,
+            chunks,
+            digest,
+            data,
+        }),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/log/actor.rs
@@ -0,0 +1,491 @@
+//! The actor that carries events into the cores of the log client and their actions out.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix::{
+    Actor,
+    ActorFutureExt,
+    AsyncContext,
+    Context,
+    StreamHandler,
+    WrapFuture, //
+};
+use bytes::Bytes;
+use futures::channel::{
+    mpsc,
+    oneshot, //
+};
+
+use crate::{
+    controller::ControlContext,
+    instance::Instance,
+    log::{
+        append::{
+            Appender,
+            Settled,
+            Ticket, //
+        },
+        buffer::RecordBuffer,
+        denials::Denials,
+        follower::{
+            Follower,
+            Source, //
+        },
+        freshness::Freshness,
+        relays,
+        serve::WaitingPull,
+        snapshots::{
+            LogBounds,
+            SnapshotPolicy,
+            SnapshotWatch, //
+        },
+        Command, //
+    },
+    platform::{
+        LogRead,
+        PlatformError, //
+    },
+    record::Record,
+    state::{
+        snapshot,
+        Rejection,
+        SubmitError, //
+    },
+    view::Member,
+    wire::WithdrawnKey, //
+};
+
+/// Pause between two looks at what is due.
+const TICK_MS: u64 = 20;
+
+/// How long a submission waits until it is read back.
+const SUBMIT_WAIT_MS: u64 = 4_000;
+
+/// How long an operator's withdrawal waits for the log before it is told as not yet durable.
+const WITHDRAW_WAIT_MS: u64 = 1_500;
+
+/// Most records of one read.
+const READ_RECORDS: usize = 512;
+
+/// Pause before a member that learnt of a denial appends it, for each turn.
+const DENIAL_TURN_MS: u64 = 1_000;
+
+/// Who waits for the end of a submission.
+enum Waiter {
+    Submit(oneshot::Sender<Result<u64, SubmitError>>),
+    Withdraw(Arc<str>, oneshot::Sender<Result<WithdrawnKey, SubmitError>>),
+}
+
+/// The log client on the control thread.
+pub(crate) struct LogActor {
+    pub(crate) context: ControlContext,
+    pub(crate) appender: Appender,
+    pub(crate) buffer: RecordBuffer,
+    pub(crate) denials: Denials,
+    pub(crate) follower: Follower,
+    pub(crate) freshness: Freshness,
+    pub(crate) policy: SnapshotPolicy,
+    pub(crate) watch: SnapshotWatch,
+    pub(crate) pulls: Vec<WaitingPull>,
+    /// Whether the last read reached the log's head.
+    pub(crate) is_at_head: bool,
+    pub(crate) is_polling: bool,
+    pub(crate) next_poll_ms: u64,
+    /// The earliest offset that the log kept when it was last read.
+    pub(crate) earliest: u64,
+    was_fresh: bool,
+    waiters: BTreeMap<Ticket, Waiter>,
+}
+
+/// Starts the log client on the current thread.
+pub(crate) fn start(context: ControlContext, commands: mpsc::UnboundedReceiver<Command>) {
+    LogActor::create(|actor| {
+        actor.add_stream(commands);
+        LogActor::new(context)
+    });
+}
+
+impl Actor for LogActor {
+    type Context = Context<Self>;
+
+    fn started(&mut self, actor: &mut Self::Context) {
+        actor.run_interval(Duration::from_millis(TICK_MS), Self::tick);
+        self.read_next(actor);
+    }
+}
+
+impl StreamHandler<Command> for LogActor {
+    fn handle(&mut self, command: Command, actor: &mut Self::Context) {
+        match command {
+            Command::Submit { record, answer } => {
+                self.submit(record, SUBMIT_WAIT_MS, Waiter::Submit(answer));
+            }
+            Command::Withdraw { key_id, answer } => self.withdraw(key_id, answer, actor),
+            Command::Peer { message, reply } => self.serve(message, reply),
+        }
+        self.append_next(actor);
+    }
+}
+
+impl LogActor {
+    fn new(context: ControlContext) -> Self {
+        let id = context.instance.id().clone();
+        let failure_domain = context.instance.settings.failure_domain.clone();
+        Self {
+            appender: Appender::new(id.clone(), context.instance.incarnation),
+            buffer: RecordBuffer::default(),
+            denials: Denials::default(),
+            follower: Follower::new(id.clone(), failure_domain),
+            freshness: Freshness::new(id),
+            policy: SnapshotPolicy::default(),
+            watch: SnapshotWatch::default(),
+            pulls: Vec::new(),
+            is_at_head: false,
+            is_polling: false,
+            next_poll_ms: 0,
+            earliest: 0,
+            was_fresh: false,
+            waiters: BTreeMap::new(),
+            context,
+        }
+    }
+
+    pub(crate) fn instance(&self) -> &Arc<Instance> {
+        &self.context.instance
+    }
+
+    pub(crate) fn folded(&self) -> u64 {
+        self.context.state.borrow().folded
+    }
+
+    pub(crate) fn members(&self) -> Arc<Vec<Member>> {
+        self.instance().view.load().members.clone()
+    }
+
+    fn tick(&mut self, actor: &mut Context<Self>) {
+        let now_ms = self.instance().now_ms();
+        let expired = self.appender.expire(now_ms);
+        self.settle(expired);
+        self.freshness.members(&self.members());
+        self.expire_pulls(now_ms);
+        self.poll_standings(now_ms, actor);
+        self.spread_denials(now_ms, actor);
+        self.append_denials(now_ms);
+        self.write_snapshot(now_ms);
+        self.publish_freshness(now_ms);
+        self.append_next(actor);
+    }
+
+    fn submit(&mut self, record: Record, wait_ms: u64, waiter: Waiter) {
+        let deadline_ms = self.instance().now_ms() + wait_ms;
+        match self.appender.submit(record, deadline_ms) {
+            Ok(ticket) => {
+                self.waiters.insert(ticket, waiter);
+            }
+            Err(error) => self.answer(waiter, Err(error)),
+        }
+    }
+
+    /// Tells those who wait what became of their submissions.
+    pub(crate) fn settle(&mut self, settled: Vec<Settled>) {
+        for (ticket, result) in settled {
+            if let Some(waiter) = self.waiters.remove(&ticket) {
+                self.answer(waiter, result);
+            }
+        }
+    }
+
+    /// A waiter that has gone away needs no answer.
+    fn answer(&self, waiter: Waiter, result: Result<u64, SubmitError>) {
+        match waiter {
+            Waiter::Submit(answer) => {
+                let _ = answer.send(result);
+            }
+            Waiter::Withdraw(key_id, answer) => {
+                // Refused: another withdrawal of the same key is in the log already.
+                let durable = matches!(result, Ok(_) | Err(SubmitError::Refused { .. }));
+                let _ = answer.send(Ok(WithdrawnKey { key_id, durable }));
+            }
+        }
+    }
+
+    fn append_next(&mut self, actor: &mut Context<Self>) {
+        let now_ms = self.instance().now_ms();
+        let members = self.members().len();
+        let Some(records) = self.appender.next_call(now_ms, members) else {
+            return;
+        };
+        self.instance().metrics.count("log.append_call");
+        let log = self.context.platform.log.clone();
+        let call = async move { log.append(records).await };
+        actor.spawn(call.into_actor(self).map(|result, this, actor| {
+            this.appended(&result);
+            this.append_next(actor);
+        }));
+    }
+
+    fn appended(&mut self, result: &Result<u64, PlatformError>) {
+        let now_ms = self.instance().now_ms();
+        self.appender.answered(result, now_ms);
+        if let Err(error) = result {
+            self.instance().metrics.count("log.append_failed");
+            let timeline = &self.instance().timeline;
+            timeline.record("log.append_failed", "", &[("error", error)]);
+        }
+    }
+
+    /// Starts the next read; one is under way at any time.
+    fn read_next(&mut self, actor: &mut Context<Self>) {
+        let now_ms = self.instance().now_ms();
+        let members = self.members();
+        match self.follower.next(now_ms, &members, self.folded()) {
+            Source::Log { from, wait_ms } => self.read_log(now_ms, from, wait_ms, actor),
+            Source::Peer(peer) => self.pull(now_ms, peer, actor),
+            Source::Pause { wait_ms } => {
+                actor.run_later(Duration::from_millis(wait_ms), Self::read_next);
+            }
+        }
+    }
+
+    fn read_log(&mut self, asked_ms: u64, from: u64, wait_ms: u64, actor: &mut Context<Self>) {
+        let log = self.context.platform.log.clone();
+        let call = async move { log.read(from, READ_RECORDS, wait_ms).await };
+        actor.spawn(call.into_actor(self).map(move |result, this, actor| {
+            this.log_answered(asked_ms, from, result);
+            this.read_next(actor);
+        }));
+    }
+
+    fn log_answered(&mut self, asked_ms: u64, from: u64, result: Result<LogRead, PlatformError>) {
+        let now_ms = self.instance().now_ms();
+        match result {
+            Ok(read) if read.earliest > from => self.truncated(now_ms, read.earliest),
+            Ok(read) => self.log_read(asked_ms, from, read),
+            Err(PlatformError::Truncated { earliest }) => self.truncated(now_ms, earliest),
+            Err(error) => self.log_failed(now_ms, &error),
+        }
+        self.publish_freshness(now_ms);
+    }
+
+    fn log_read(&mut self, asked_ms: u64, from: u64, read: LogRead) {
+        if self.follower.is_failing() {
+            self.instance().timeline.record("log.back", "", &[]);
+        }
+        self.follower.log_read();
+        self.freshness.reached();
+        self.earliest = read.earliest;
+        let records: Vec<(u64, Bytes)> = read
+            .records
+            .into_iter()
+            .map(|record| (record.offset, record.data))
+            .collect();
+        if self.follower.is_scanning() {
+            self.scan_read(from, read.earliest, read.head, &records);
+            return;
+        }
+        self.is_at_head = from + records.len() as u64 >= read.head;
+        self.absorb(records);
+        if self.folded() > read.head {
+            self.instance().metrics.count("log.head_behind");
+        }
+        if self.folded() == read.head {
+            let members = self.members();
+            self.freshness.confirmed(asked_ms, &members);
+        }
+    }
+
+    fn log_failed(&mut self, now_ms: u64, error: &PlatformError) {
+        if !self.follower.is_failing() {
+            let timeline = &self.instance().timeline;
+            timeline.record("log.away", "", &[("error", error)]);
+        }
+        self.instance().metrics.count("log.read_failed");
+        let members = self.members();
+        self.follower.log_failed(now_ms, &members);
+        self.freshness.failed(now_ms);
+        self.policy.log_away();
+    }
+
+    /// Records that are needed have left the log: a snapshot must make up for them.
+    fn truncated(&mut self, now_ms: u64, earliest: u64) {
+        if !self.follower.is_scanning() {
+            let timeline = &self.instance().timeline;
+            timeline.record("log.truncated", "", &[("earliest", &earliest)]);
+            self.instance().metrics.count("log.truncated");
+        }
+        self.earliest = earliest;
+        self.follower.log_read();
+        self.follower.truncated(now_ms, earliest);
+    }
+
+    fn scan_read(&mut self, from: u64, earliest: u64, head: u64, records: &[(u64, Bytes)]) {
+        if let Some(state) = self.scan(records, earliest) {
+            let upto = state.folded;
+            if self.install(state, "log") {
+                self.seen_snapshot(upto);
+                self.follower.end_scan();
+                return;
+            }
+        }
+        let now_ms = self.instance().now_ms();
+        let next = from + records.len() as u64;
+        if self.follower.scanned(now_ms, next, head) {
+            self.found_no_snapshot(earliest);
+        }
+    }
+
+    fn seen_snapshot(&mut self, upto: u64) {
+        let now_ms = self.instance().now_ms();
+        self.policy.seen(upto, now_ms);
+    }
+
+    /// Nobody knows the records that have left the log, so no accepted change was among them:
+    /// its submitter would have folded it. Goes on through the log itself, by a snapshot, so that
+    /// all instances go on from the same state.
+    fn found_no_snapshot(&mut self, earliest: u64) {
+        self.instance().metrics.count("log.state_lost");
+        let timeline = &self.instance().timeline;
+        timeline.record("log.state_lost", "", &[("earliest", &earliest)]);
+        let mut state = self.context.state.borrow().clone();
+        state.folded = state.folded.max(earliest);
+        let chunks = snapshot::chunks(&state);
+        self.submit_snapshot(chunks);
+    }
+
+    fn write_snapshot(&mut self, now_ms: u64) {
+        let members = self.members();
+        let bounds = LogBounds {
+            earliest: self.earliest,
+            folded: self.folded(),
+        };
+        let can_write = self.is_at_head && !self.follower.is_failing();
+        if !can_write || self.follower.is_scanning() || !self.follower.is_relay(&members) {
+            return;
+        }
+        let id = self.instance().id().clone();
+        let turn = || relays::turn(0, &members, &id);
+        if self.policy.is_due(now_ms, bounds, turn) {
+            let chunks = snapshot::chunks(&self.context.state.borrow());
+            let (upto, count) = (bounds.folded, chunks.len());
+            let fields: [(&str, &dyn std::fmt::Display); 2] = [("upto", &upto), ("chunks", &count)];
+            self.instance()
+                .timeline
+                .record("snapshot.written", "", &fields);
+            self.submit_snapshot(chunks);
+        }
+    }
+
+    fn submit_snapshot(&mut self, chunks: Vec<snapshot::Chunk>) {
+        let deadline_ms = self.instance().now_ms() + SUBMIT_WAIT_MS;
+        for chunk in chunks {
+            // A chunk is well under the limit; a snapshot that can't be written is tried again.
+            let _ = self.appender.submit(chunk.into(), deadline_ms);
+        }
+    }
+
+    fn withdraw(
+        &mut self,
+        key_id: Arc<str>,
+        answer: oneshot::Sender<Result<WithdrawnKey, SubmitError>>,
+        actor: &mut Context<Self>,
+    ) {
+        let withdrawn = self
+            .context
+            .state
+            .borrow()
+            .keys
+            .get(&key_id)
+            .map(|entry| entry.withdrawn);
+        let waiter = Waiter::Withdraw(key_id.clone(), answer);
+        match withdrawn {
+            Some(false) => {}
+            Some(true) => return self.answer(waiter, Ok(0)),
+            None => return self.refuse_unknown(waiter),
+        }
+        let now_ms = self.instance().now_ms();
+        self.denials.add(&key_id, true, now_ms + WITHDRAW_WAIT_MS);
+        let timeline = &self.instance().timeline;
+        timeline.record("key.denied", "", &[("key_id", &key_id)]);
+        self.publish();
+        self.spread_denials(now_ms, actor);
+        self.submit(Record::KeyWithdrawn { key_id }, WITHDRAW_WAIT_MS, waiter);
+    }
+
+    fn refuse_unknown(&self, waiter: Waiter) {
+        if let Waiter::Withdraw(_, answer) = waiter {
+            let reason = Rejection::Unknown;
+            let _ = answer.send(Err(SubmitError::Refused { reason }));
+        }
+    }
+
+    /// Takes denials that a peer knows of.
+    pub(crate) fn learn_denials(&mut self, denied: &[Arc<str>]) {
+        let members = self.members();
+        let id = self.instance().id().clone();
+        let now_ms = self.instance().now_ms();
+        let mut is_new = false;
+        for key_id in denied {
+            let keys = self.context.state.borrow().keys.clone();
+            if keys.get(key_id).is_some_and(|entry| entry.withdrawn) {
+                continue;
+            }
+            let key = xxhash_rust::xxh3::xxh3_64(key_id.as_bytes());
+            let turn = 1 + relays::turn(key, &members, &id) as u64;
+            let added = self
+                .denials
+                .add(key_id, false, now_ms + turn * DENIAL_TURN_MS);
+            if added {
+                let timeline = &self.instance().timeline;
+                timeline.record("key.denied", "", &[("key_id", key_id)]);
+            }
+            is_new |= added;
+        }
+        if is_new {
+            self.publish();
+        }
+    }
+
+    /// Appends the withdrawals that the log does not hold yet, whoever took them from operators.
+    fn append_denials(&mut self, now_ms: u64) {
+        if self.follower.is_failing() || !self.is_at_head {
+            return;
+        }
+        for key_id in self.denials.due_appends(now_ms) {
+            let deadline_ms = now_ms + SUBMIT_WAIT_MS;
+            // Nobody waits for it: it's tried again until the fold has it.
+            let _ = self
+                .appender
+                .submit(Record::KeyWithdrawn { key_id }, deadline_ms);
+        }
+    }
+
+    /// Says until when traffic may serve keyed requests.
+    pub(crate) fn publish_freshness(&mut self, now_ms: u64) {
+        let until_ms = self.freshness.fresh_until_ms();
+        self.instance().view.set_fresh_until(until_ms);
+        let is_fresh = now_ms < until_ms;
+        if is_fresh != self.was_fresh {
+            self.was_fresh = is_fresh;
+            let kind = if is_fresh {
+                "freshness.gained"
+            } else {
+                "freshness.lost"
+            };
+            self.instance().timeline.record(kind, "", &[]);
+            self.instance()
+                .metrics
+                .set_level("log.fresh", is_fresh.into());
+        }
+    }
+
+    /// Goes on reading after a peer's answer was taken in.
+    pub(crate) fn read_on(&mut self, actor: &mut Context<Self>) {
+        let now_ms = self.instance().now_ms();
+        self.publish_freshness(now_ms);
+        self.read_next(actor);
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/log/append.rs
@@ -0,0 +1,348 @@
+//! Appends: batched, limited, sent again after a lost answer, settled by reading them back.
+//!
+//! One call is in flight at a time, and every call starts at the lowest serial that isn't known
+//! to be appended. So the first copy of a record in the log follows the first copies of all lower
+//! serials that were not given up, and the fold may drop whatever is not above the last serial.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+use bytes::Bytes;
+
+use crate::{
+    platform::PlatformError,
+    record::{
+        self,
+        Envelope,
+        Record, //
+    },
+    state::{
+        Rejection,
+        SubmitError, //
+    }, //
+};
+
+/// Append calls a second that all instances may make together.
+const CALLS_PER_S: u64 = 200;
+
+/// Calls that may be made at once after a quiet time.
+const BURST_CALLS: u64 = 4;
+
+/// Most records of one call.
+const BATCH_RECORDS: usize = 64;
+
+/// Most bytes of one call, unless a single record is larger.
+const BATCH_BYTES: usize = 512 << 10;
+
+/// First pause after a call without effect; it doubles up to [`LONGEST_BACKOFF_MS`].
+const FIRST_BACKOFF_MS: u64 = 50;
+
+/// Longest pause after a call without effect.
+const LONGEST_BACKOFF_MS: u64 = 1_000;
+
+/// Names one submission, whatever serial it is sent under.
+pub(crate) type Ticket = u64;
+
+/// The end of one submission.
+pub(crate) type Settled = (Ticket, Result<u64, SubmitError>);
+
+/// What is known of a record that is not yet read back.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    /// Not in the log.
+    Unsent,
+    /// In the log or not: an answer was lost.
+    Maybe,
+    /// In the log.
+    Appended,
+}
+
+struct Pending {
+    ticket: Ticket,
+    serial: u64,
+    record: Record,
+    bytes: Bytes,
+    deadline_ms: u64,
+    fate: Fate,
+}
+
+/// What waits to be appended or to be read back.
+pub(crate) struct Appender {
+    writer: Arc<str>,
+    incarnation: u64,
+    last_serial: u64,
+    last_ticket: Ticket,
+    pending: VecDeque<Pending>,
+    /// The highest serial of the call in flight.
+    in_flight: Option<u64>,
+    backoff_ms: u64,
+    /// Not before this time after a call without effect.
+    resume_ms: u64,
+    /// When the next call would be due at an even pace.
+    due_ms: u64,
+}
+
+impl Appender {
+    pub(crate) fn new(writer: Arc<str>, incarnation: u64) -> Self {
+        Self {
+            writer,
+            incarnation,
+            last_serial: 0,
+            last_ticket: 0,
+            pending: VecDeque::new(),
+            in_flight: None,
+            backoff_ms: 0,
+            resume_ms: 0,
+            due_ms: 0,
+        }
+    }
+
+    /// Queues a record until `deadline_ms`.
+    ///
+    /// # Errors
+    ///
+    /// [`Rejection::TooLarge`] when it can't be one record of the log.
+    pub(crate) fn submit(
+        &mut self,
+        record: Record,
+        deadline_ms: u64,
+    ) -> Result<Ticket, SubmitError> {
+        self.last_ticket += 1;
+        self.queue(self.last_ticket, record, deadline_ms)?;
+        Ok(self.last_ticket)
+    }
+
+    fn queue(
+        &mut self,
+        ticket: Ticket,
+        record: Record,
+        deadline_ms: u64,
+    ) -> Result<(), SubmitError> {
+        let serial = self.last_serial + 1;
+        let envelope = Envelope {
+            writer: self.writer.clone(),
+            incarnation: self.incarnation,
+            serial,
+            record,
+        };
+        let bytes = record::encode(&envelope).map_err(|_| SubmitError::Refused {
+            reason: Rejection::TooLarge,
+        })?;
+        self.last_serial = serial;
+        self.pending.push_back(Pending {
+            ticket,
+            serial,
+            record: envelope.record,
+            bytes,
+            deadline_ms,
+            fate: Fate::Unsent,
+        });
+        Ok(())
+    }
+
+    /// The records of the next call, if one may be made now. Every instance gets an equal share
+    /// of the platform's limit.
+    pub(crate) fn next_call(&mut self, now_ms: u64, members: usize) -> Option<Vec<Bytes>> {
+        let interval_ms = (1_000 * members.max(1) as u64).div_ceil(CALLS_PER_S);
+        let earliest_ms = self.due_ms.saturating_sub(interval_ms * BURST_CALLS);
+        if self.in_flight.is_some() || now_ms < earliest_ms || now_ms < self.resume_ms {
+            return None;
+        }
+        let batch = self.batch();
+        if batch.is_empty() {
+            return None;
+        }
+        self.due_ms = self.due_ms.max(now_ms) + interval_ms;
+        Some(batch)
+    }
+
+    fn batch(&mut self) -> Vec<Bytes> {
+        let mut batch = Vec::new();
+        let mut size = 0;
+        let unknown = self.pending.iter();
+        for pending in unknown.filter(|pending| pending.fate != Fate::Appended) {
+            size += pending.bytes.len();
+            let is_full = batch.len() == BATCH_RECORDS || size > BATCH_BYTES;
+            if is_full && !batch.is_empty() {
+                break;
+            }
+            batch.push(pending.bytes.clone());
+            self.in_flight = Some(pending.serial);
+        }
+        batch
+    }
+
+    /// Takes the answer to the call in flight.
+    pub(crate) fn answered(&mut self, result: &Result<u64, PlatformError>, now_ms: u64) {
+        let upto = self.in_flight.take().unwrap_or(0);
+        let fate = match result {
+            Ok(_) => Some(Fate::Appended),
+            Err(PlatformError::Refused { .. }) => None,
+            Err(_) => Some(Fate::Maybe),
+        };
+        let sent = self.pending.iter_mut();
+        for pending in sent.filter(|pending| pending.serial <= upto) {
+            if let Some(fate) = fate.filter(|_| pending.fate != Fate::Appended) {
+                pending.fate = fate;
+            }
+        }
+        self.backoff_ms = match result {
+            Ok(_) => 0,
+            Err(_) => (self.backoff_ms * 2).clamp(FIRST_BACKOFF_MS, LONGEST_BACKOFF_MS),
+        };
+        self.resume_ms = now_ms + self.backoff_ms;
+    }
+
+    /// Takes what the fold made of one of this writer's records.
+    pub(crate) fn folded(
+        &mut self,
+        serial: u64,
+        result: Result<u64, Rejection>,
+    ) -> Option<Settled> {
+        let at = self
+            .pending
+            .iter()
+            .position(|pending| pending.serial == serial)?;
+        let pending = self.pending.remove(at)?;
+        let settled = match result {
+            Ok(offset) => Ok(offset),
+            Err(Rejection::Reserved) => {
+                let (ticket, deadline_ms) = (pending.ticket, pending.deadline_ms);
+                match self.queue(ticket, pending.record, deadline_ms) {
+                    Ok(()) => return None,
+                    Err(error) => Err(error),
+                }
+            }
+            Err(Rejection::Repeated) => Err(SubmitError::Unknown),
+            Err(reason) => Err(SubmitError::Refused { reason }),
+        };
+        Some((pending.ticket, settled))
+    }
+
+    /// Ends submissions whose records were passed over with a snapshot: they are in the log, but
+    /// what the fold made of them was not seen.
+    pub(crate) fn passed_over(&mut self, last_serial: u64) -> Vec<Settled> {
+        self.end(|pending| pending.serial <= last_serial)
+    }
+
+    /// Ends submissions that are past their deadline. What was sent and is given up can take
+    /// effect only until a later serial is folded.
+    pub(crate) fn expire(&mut self, now_ms: u64) -> Vec<Settled> {
+        self.end(|pending| pending.deadline_ms <= now_ms)
+    }
+
+    fn end(&mut self, is_over: impl Fn(&Pending) -> bool) -> Vec<Settled> {
+        let in_flight = self.in_flight.unwrap_or(0);
+        let mut ended = Vec::new();
+        self.pending.retain(|pending| {
+            if !is_over(pending) {
+                return true;
+            }
+            let is_unsent = pending.fate == Fate::Unsent && pending.serial > in_flight;
+            let error = if is_unsent {
+                SubmitError::LogAway
+            } else {
+                SubmitError::Unknown
+            };
+            ended.push((pending.ticket, Err(error)));
+            false
+        });
+        ended
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn appender() -> Appender {
+        Appender::new("n1".into(), 7)
+    }
+
+    fn withdrawal(key: &str) -> Record {
+        Record::KeyWithdrawn { key_id: key.into() }
+    }
+
+    fn serials(batch: &[Bytes]) -> Vec<u64> {
+        let decoded = batch.iter().map(|bytes| record::decode(bytes));
+        decoded
+            .map(|envelope| envelope.expect("own records decode").serial)
+            .collect()
+    }
+
+    fn lost() -> Result<u64, PlatformError> {
+        Err(PlatformError::Unknown { reason: "".into() })
+    }
+
+    fn refused() -> Result<u64, PlatformError> {
+        Err(PlatformError::Refused { reason: "".into() })
+    }
+
+    #[test]
+    fn a_lost_answer_sends_the_same_serials_before_later_ones() {
+        let mut appender = appender();
+        appender.submit(withdrawal("a"), 9_000).unwrap();
+        let first = appender.next_call(0, 1).expect("a call is due");
+        appender.submit(withdrawal("b"), 9_000).unwrap();
+        assert!(appender.next_call(0, 1).is_none(), "one call at a time");
+        appender.answered(&lost(), 0);
+        let second = appender.next_call(1_000, 1).expect("a call is due");
+        assert_eq!(serials(&first), [1]);
+        assert_eq!(serials(&second), [1, 2]);
+        assert_eq!(first[0], second[0]);
+    }
+
+    #[test]
+    fn only_what_was_never_in_doubt_is_told_as_not_appended() {
+        let mut appender = appender();
+        let doubtful = appender.submit(withdrawal("a"), 100).unwrap();
+        appender.next_call(0, 1).expect("a call is due");
+        appender.answered(&lost(), 0);
+        appender.next_call(60, 1).expect("a call is due");
+        appender.answered(&refused(), 60);
+        let unsent = appender.submit(withdrawal("b"), 100).unwrap();
+        let ended = appender.expire(100);
+        assert_eq!(ended[0], (doubtful, Err(SubmitError::Unknown)));
+        assert_eq!(ended[1], (unsent, Err(SubmitError::LogAway)));
+    }
+
+    #[test]
+    fn what_is_in_flight_at_its_deadline_is_unknown() {
+        let mut appender = appender();
+        let ticket = appender.submit(withdrawal("a"), 100).unwrap();
+        appender.next_call(0, 1).expect("a call is due");
+        let ended = appender.expire(100);
+        assert_eq!(ended, [(ticket, Err(SubmitError::Unknown))]);
+    }
+
+    #[test]
+    fn the_first_offset_is_tried_again_under_a_new_serial() {
+        let mut appender = appender();
+        let ticket = appender.submit(withdrawal("a"), 9_000).unwrap();
+        appender.next_call(0, 1).expect("a call is due");
+        appender.answered(&Ok(0), 0);
+        assert_eq!(appender.folded(1, Err(Rejection::Reserved)), None);
+        let again = appender.next_call(100, 1).expect("a call is due");
+        assert_eq!(serials(&again), [2]);
+        assert_eq!(appender.folded(2, Ok(1)), Some((ticket, Ok(1))));
+    }
+
+    #[test]
+    fn calls_keep_to_the_share() {
+        let mut appender = appender();
+        let members = 20;
+        let mut calls = 0;
+        for now_ms in 0..10_000 {
+            appender.submit(withdrawal("a"), 60_000).unwrap();
+            if appender.next_call(now_ms, members).is_some() {
+                appender.answered(&Ok(0), now_ms);
+                calls += 1;
+            }
+        }
+        let share = 10 * CALLS_PER_S / members as u64;
+        assert!(calls <= share + BURST_CALLS + 1, "{calls} calls");
+        assert!(calls >= share, "{calls} calls");
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/log/buffer.rs
@@ -0,0 +1,117 @@
+//! The newest records, for peers that pull them.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+use crate::record::{
+    self,
+    Envelope,
+    Record, //
+};
+
+/// Bytes of records that are kept.
+const KEPT_BYTES: usize = 4 << 20;
+
+/// Bytes that one record counts beside its own.
+const OVERHEAD_BYTES: usize = 64;
+
+/// Bytes of one answer, unless a single record is larger.
+const ANSWER_BYTES: usize = 256 << 10;
+
+/// Records without a gap up to the last one that was read.
+#[derive(Default)]
+pub(crate) struct RecordBuffer {
+    records: VecDeque<(u64, Bytes)>,
+    size: usize,
+}
+
+impl RecordBuffer {
+    /// Adds the next record; after a jump the buffer starts anew.
+    pub(crate) fn push(&mut self, offset: u64, data: Bytes) {
+        let next = self.records.back().map(|(last, _)| last + 1);
+        if next.is_some_and(|next| next != offset) {
+            self.clear();
+        }
+        self.size += data.len() + OVERHEAD_BYTES;
+        self.records.push_back((offset, data));
+        while self.size > KEPT_BYTES {
+            let Some((_, oldest)) = self.records.pop_front() else {
+                break;
+            };
+            self.size -= oldest.len() + OVERHEAD_BYTES;
+        }
+    }
+
+    /// Forgets all records.
+    pub(crate) fn clear(&mut self) {
+        self.records.clear();
+        self.size = 0;
+    }
+
+    /// Records from `from` on, up to the size of one answer; none when `from` isn't kept.
+    pub(crate) fn since(&self, from: u64) -> Option<Vec<(u64, Bytes)>> {
+        let first = self.records.front()?.0;
+        let skipped = usize::try_from(from.checked_sub(first)?).ok()?;
+        if skipped > self.records.len() {
+            return None;
+        }
+        let mut size = 0;
+        let wanted = self.records.range(skipped..).take_while(|(_, data)| {
+            let is_first = size == 0;
+            size += data.len() + OVERHEAD_BYTES;
+            is_first || size <= ANSWER_BYTES
+        });
+        Some(wanted.cloned().collect())
+    }
+}
+
+/// Leaves out the bytes of a snapshot: who folds all records has no use for them, and they would
+/// be most of what relays send. The rest stays, so that the fold counts the record all the same.
+pub(crate) fn without_snapshot(envelope: Envelope, data: &Bytes) -> Bytes {
+    let Record::SnapshotChunk {
+        upto,
+        chunk,
+        chunks,
+        digest,
+        ..
+    } = envelope.record
+    else {
+        return data.clone();
+    };
+    let record = Record::SnapshotChunk {
+        upto,
+        chunk,
+        chunks,
+        digest,
+        data: Bytes::new(),
+    };
+    record::encode(&Envelope { record, ..envelope }).unwrap_or_else(|_| data.clone())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn memory_is_bounded_and_old_offsets_are_gone() {
+        let mut buffer = RecordBuffer::default();
+        for offset in 0..100 {
+            buffer.push(offset, Bytes::from(vec![0; 100_000]));
+        }
+        assert!(buffer.size <= KEPT_BYTES);
+        assert!(buffer.since(0).is_none());
+        assert_eq!(buffer.since(99).map(|records| records.len()), Some(1));
+        assert_eq!(buffer.since(100), Some(Vec::new()));
+        assert!(buffer.since(101).is_none());
+    }
+
+    #[test]
+    fn a_jump_starts_anew() {
+        let mut buffer = RecordBuffer::default();
+        buffer.push(3, Bytes::new());
+        buffer.push(9, Bytes::new());
+        assert!(buffer.since(3).is_none());
+        assert_eq!(buffer.since(9), Some(vec![(9, Bytes::new())]));
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/log/denials.rs
@@ -0,0 +1,173 @@
+//! Withdrawals that are in force here and not yet in the log.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    sync::Arc, //
+};
+
+use crate::{
+    keys::KeyTable,
+    view::Member, //
+};
+
+/// Pause before a denial is sent or appended again.
+const RETRY_MS: u64 = 1_000;
+
+/// Most denials that are kept; an operator withdraws keys one by one.
+const MOST_DENIALS: usize = 4_096;
+
+struct Denial {
+    /// Whether an operator withdrew the key here, so that this instance tells the others.
+    is_own: bool,
+    /// Members that have taken it.
+    taken_by: BTreeSet<Arc<str>>,
+    next_send_ms: u64,
+    next_append_ms: u64,
+}
+
+/// The denied keys. A denial is always safe, so it's taken from any peer and dropped only once
+/// the log holds the withdrawal.
+#[derive(Default)]
+pub(crate) struct Denials {
+    denials: BTreeMap<Arc<str>, Denial>,
+}
+
+impl Denials {
+    /// Adds a denial; returns whether it's new. One that was learnt from a peer is appended by
+    /// this instance only if nobody else has done so after some time.
+    pub(crate) fn add(&mut self, key_id: &Arc<str>, is_own: bool, append_at_ms: u64) -> bool {
+        if let Some(known) = self.denials.get_mut(key_id) {
+            known.is_own |= is_own;
+            return false;
+        }
+        if self.denials.len() >= MOST_DENIALS {
+            return false;
+        }
+        let denial = Denial {
+            is_own,
+            taken_by: BTreeSet::new(),
+            next_send_ms: 0,
+            next_append_ms: append_at_ms,
+        };
+        self.denials.insert(key_id.clone(), denial);
+        true
+    }
+
+    /// The denied keys.
+    pub(crate) fn keys(&self) -> Vec<Arc<str>> {
+        self.denials.keys().cloned().collect()
+    }
+
+    /// Drops what the log holds. A key that the log doesn't know is dropped only once the log is
+    /// read to its head, as its grant may still be to come.
+    pub(crate) fn settle(&mut self, keys: &KeyTable, is_at_head: bool) {
+        self.denials.retain(|key_id, _| match keys.get(key_id) {
+            Some(entry) => !entry.withdrawn,
+            None => !is_at_head,
+        });
+    }
+
+    /// Keys whose withdrawal should be appended now.
+    pub(crate) fn due_appends(&mut self, now_ms: u64) -> Vec<Arc<str>> {
+        let due = self
+            .denials
+            .iter_mut()
+            .filter(|(_, denial)| denial.next_append_ms <= now_ms);
+        due.map(|(key_id, denial)| {
+            denial.next_append_ms = now_ms + RETRY_MS;
+            key_id.clone()
+        })
+        .collect()
+    }
+
+    /// Own denials that members have not taken yet.
+    pub(crate) fn due_messages<'a>(
+        &mut self,
+        now_ms: u64,
+        members: &'a [Member],
+    ) -> Vec<(Arc<str>, &'a Member)> {
+        let mut messages = Vec::new();
+        let due = self
+            .denials
+            .iter_mut()
+            .filter(|(_, denial)| denial.is_own && denial.next_send_ms <= now_ms);
+        for (key_id, denial) in due {
+            denial.next_send_ms = now_ms + RETRY_MS;
+            let missing = members
+                .iter()
+                .filter(|member| !denial.taken_by.contains(&member.instance));
+            messages.extend(missing.map(|member| (key_id.clone(), member)));
+        }
+        messages
+    }
+
+    /// A member has taken a denial.
+    pub(crate) fn taken(&mut self, key_id: &str, member: Arc<str>) {
+        if let Some(denial) = self.denials.get_mut(key_id) {
+            denial.taken_by.insert(member);
+        }
+    }
+
+    /// Withdraws the denied keys in a table that is about to be published.
+    pub(crate) fn apply(&self, keys: &mut Arc<KeyTable>) {
+        for key_id in self.denials.keys() {
+            if keys.is_in_force(key_id) {
+                Arc::make_mut(keys).withdraw(key_id);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::keys::KeyEntry;
+
+    fn table(withdrawn: bool) -> KeyTable {
+        let mut keys = KeyTable::default();
+        keys.grant(KeyEntry {
+            key_id: "fk-a".into(),
+            digest: [0; 32],
+            organisation: "lodges".into(),
+            withdrawn,
+        });
+        keys
+    }
+
+    #[test]
+    fn a_denial_outlives_every_publication_until_the_log_holds_it() {
+        let mut denials = Denials::default();
+        denials.add(&"fk-a".into(), false, 500);
+        for _ in 0..2 {
+            let mut published = Arc::new(table(false));
+            denials.settle(&published, true);
+            denials.apply(&mut published);
+            assert!(!published.is_in_force("fk-a"));
+        }
+        denials.settle(&table(true), true);
+        assert!(denials.keys().is_empty());
+    }
+
+    #[test]
+    fn a_denial_of_an_unknown_key_waits_for_the_head() {
+        let mut denials = Denials::default();
+        denials.add(&"fk-b".into(), false, 0);
+        denials.settle(&table(false), false);
+        assert_eq!(denials.keys().len(), 1);
+        denials.settle(&table(false), true);
+        assert!(denials.keys().is_empty());
+    }
+
+    #[test]
+    fn appends_are_tried_again_with_pauses() {
+        let mut denials = Denials::default();
+        denials.add(&"fk-a".into(), true, 100);
+        assert!(denials.due_appends(99).is_empty());
+        assert_eq!(denials.due_appends(100).len(), 1);
+        assert!(denials.due_appends(101).is_empty());
+        assert_eq!(denials.due_appends(100 + RETRY_MS).len(), 1);
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/log/freshness.rs
@@ -0,0 +1,231 @@
+//! Until when this instance may serve keyed requests.
+//!
+//! It may while no accepted change can have passed it by: the log's head was confirmed a short
+//! time ago, here or at a peer; or more than half of the members, all found to have the log away,
+//! know of no later record. See `docs/design/freshness.md`.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc, //
+};
+
+use crate::{
+    log::Standing,
+    view::Member, //
+};
+
+/// How long a confirmation lasts; with the time that a withdrawal takes to spread, this stays
+/// within the tolerance for withdrawn keys.
+pub(crate) const FRESH_MS: u64 = 4_000;
+
+/// How long a failed read of the log counts as finding it away.
+const AWAY_MS: u64 = 5_000;
+
+/// What the instance knows of its own freshness.
+#[derive(Debug)]
+pub(crate) struct Freshness {
+    instance: Arc<str>,
+    fresh_until_ms: u64,
+    /// When a read of the log last failed, unless one worked since.
+    failed_ms: Option<u64>,
+    /// Members since the log was last confirmed. One that vanished without leaving still counts,
+    /// or else an isolated instance would soon be a majority of one.
+    electorate: BTreeSet<Arc<str>>,
+    /// Whether the instance was ever fresh; a new one can't tell what it missed.
+    is_established: bool,
+}
+
+impl Freshness {
+    pub(crate) fn new(instance: Arc<str>) -> Self {
+        Self {
+            instance,
+            fresh_until_ms: 0,
+            failed_ms: None,
+            electorate: BTreeSet::new(),
+            is_established: false,
+        }
+    }
+
+    /// Until when the instance is fresh.
+    pub(crate) fn fresh_until_ms(&self) -> u64 {
+        self.fresh_until_ms
+    }
+
+    /// How long the instance is still fresh.
+    pub(crate) fn fresh_for_ms(&self, now_ms: u64) -> Option<u64> {
+        let left_ms = self.fresh_until_ms.checked_sub(now_ms)?;
+        (left_ms > 0).then_some(left_ms)
+    }
+
+    /// Whether this instance's own last try to read the log, a short time ago, failed.
+    pub(crate) fn is_log_away(&self, now_ms: u64) -> bool {
+        self.failed_ms
+            .is_some_and(|failed_ms| now_ms < failed_ms + AWAY_MS)
+    }
+
+    /// Takes in who is a member now.
+    pub(crate) fn members(&mut self, members: &[Member]) {
+        for member in members {
+            if member.leaving {
+                self.electorate.remove(&member.instance);
+            } else {
+                self.electorate.insert(member.instance.clone());
+            }
+        }
+    }
+
+    /// The log was read to its head by a read that began at `asked_ms`.
+    pub(crate) fn confirmed(&mut self, asked_ms: u64, members: &[Member]) {
+        self.failed_ms = None;
+        self.electorate.clear();
+        self.members(members);
+        self.extend(asked_ms + FRESH_MS);
+    }
+
+    /// The log could be read, though not yet to its head.
+    pub(crate) fn reached(&mut self) {
+        self.failed_ms = None;
+    }
+
+    /// The log could not be read.
+    pub(crate) fn failed(&mut self, now_ms: u64) {
+        self.failed_ms = Some(now_ms);
+    }
+
+    /// A peer that was asked at `asked_ms` answered. Its freshness is good here too if it knows
+    /// of no later record.
+    pub(crate) fn peer(&mut self, asked_ms: u64, folded: u64, standing: &Standing) {
+        let Some(fresh_for_ms) = standing.fresh_for_ms else {
+            return;
+        };
+        if standing.folded <= folded {
+            self.extend(asked_ms + fresh_for_ms.min(FRESH_MS));
+        }
+    }
+
+    /// All reachable peers, asked at `asked_ms`, answered; `folded` is as far as this instance got.
+    pub(crate) fn peers(&mut self, asked_ms: u64, folded: u64, answers: &[(Arc<str>, Standing)]) {
+        for (_, standing) in answers {
+            self.peer(asked_ms, folded, standing);
+        }
+        let is_known = |standing: &Standing| standing.log_away && standing.folded <= folded;
+        let all_agree = answers.iter().all(|(_, standing)| is_known(standing));
+        if all_agree && self.is_established && self.is_log_away(asked_ms) {
+            self.count(asked_ms, answers);
+        }
+    }
+
+    fn count(&mut self, asked_ms: u64, answers: &[(Arc<str>, Standing)]) {
+        let others = answers
+            .iter()
+            .filter(|(peer, _)| *peer != self.instance && self.electorate.contains(peer));
+        let agreeing = 1 + others.count();
+        self.electorate.insert(self.instance.clone());
+        if 2 * agreeing > self.electorate.len() {
+            self.extend(asked_ms + FRESH_MS);
+        }
+    }
+
+    fn extend(&mut self, until_ms: u64) {
+        self.is_established = true;
+        self.fresh_until_ms = self.fresh_until_ms.max(until_ms);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn members(count: usize) -> Vec<Member> {
+        let member = |index| Member {
+            instance: format!("n{index}").into(),
+            incarnation: 1,
+            failure_domain: "saiq".into(),
+            address: "127.0.0.1:1".into(),
+            peer_address: "127.0.0.1:2".into(),
+            leaving: false,
+            suspect: false,
+            revision: 0,
+        };
+        (0..count).map(member).collect()
+    }
+
+    fn away(folded: u64) -> Standing {
+        Standing {
+            folded,
+            fresh_for_ms: None,
+            log_away: true,
+            denied: Vec::new(),
+        }
+    }
+
+    fn answers(indices: std::ops::Range<usize>, folded: u64) -> Vec<(Arc<str>, Standing)> {
+        indices
+            .map(|index| (format!("n{index}").into(), away(folded)))
+            .collect()
+    }
+
+    /// An instance of five that confirmed the log at 1,000 and found it away at 2,000.
+    fn cut_off() -> Freshness {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.confirmed(1_000, &members(5));
+        freshness.failed(2_000);
+        freshness
+    }
+
+    #[test]
+    fn an_isolated_instance_stops_being_fresh() {
+        let mut freshness = cut_off();
+        // Membership has given the others up; they still count.
+        freshness.members(&members(1));
+        freshness.peers(2_000, 10, &[]);
+        assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
+    }
+
+    #[test]
+    fn a_majority_that_finds_the_log_away_stays_fresh() {
+        let mut freshness = cut_off();
+        freshness.peers(2_000, 10, &answers(1..2, 10));
+        assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
+        freshness.peers(2_500, 10, &answers(1..3, 10));
+        assert_eq!(freshness.fresh_until_ms(), 2_500 + FRESH_MS);
+    }
+
+    #[test]
+    fn a_peer_that_knows_more_or_reads_the_log_breaks_the_majority() {
+        let mut freshness = cut_off();
+        freshness.peers(2_000, 10, &answers(1..5, 11));
+        assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
+        let mut mixed = answers(1..5, 10);
+        mixed[0].1.log_away = false;
+        freshness.peers(2_000, 10, &mixed);
+        assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
+    }
+
+    #[test]
+    fn members_that_left_do_not_count() {
+        let mut freshness = cut_off();
+        let mut leaving = members(5);
+        for member in &mut leaving[2..] {
+            member.leaving = true;
+        }
+        freshness.members(&leaving);
+        freshness.peers(2_000, 10, &answers(1..2, 10));
+        assert_eq!(freshness.fresh_until_ms(), 2_000 + FRESH_MS);
+    }
+
+    #[test]
+    fn a_new_instance_needs_a_peer_that_is_fresh() {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.members(&members(3));
+        freshness.failed(100);
+        freshness.peers(100, 0, &answers(1..3, 0));
+        assert_eq!(freshness.fresh_until_ms(), 0);
+        let mut standing = away(5);
+        standing.fresh_for_ms = Some(700);
+        freshness.peer(100, 4, &standing);
+        assert_eq!(freshness.fresh_until_ms(), 0, "the peer knows more");
+        freshness.peer(100, 5, &standing);
+        assert_eq!(freshness.fresh_until_ms(), 800);
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/log/relays.rs
@@ -0,0 +1,99 @@
+//! Who reads the log for the others: two instances a failure domain.
+
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::view::Member;
+
+/// Relays of each failure domain.
+const RELAYS: usize = 2;
+
+/// The members in the order of a key's rendezvous hash.
+pub(crate) fn by_rendezvous<'a>(
+    key: u64,
+    members: impl Iterator<Item = &'a Member>,
+) -> Vec<&'a Member> {
+    let mut ordered: Vec<&Member> = members.collect();
+    ordered.sort_by_cached_key(|member| {
+        let hash = xxh3_64_with_seed(member.instance.as_bytes(), key);
+        (std::cmp::Reverse(hash), member.instance.clone())
+    });
+    ordered
+}
+
+/// The relays of a failure domain, the first choice first. An instance that leaves or is
+/// suspected reads no more for others.
+pub(crate) fn relays<'a>(members: &'a [Member], failure_domain: &str) -> Vec<&'a Member> {
+    let near = members
+        .iter()
+        .filter(|member| &*member.failure_domain == failure_domain);
+    let healthy = near.filter(|member| !member.leaving && !member.suspect);
+    let mut ordered = by_rendezvous(0, healthy);
+    ordered.truncate(RELAYS);
+    ordered
+}
+
+/// Whether an instance reads the log itself: relays do, and everyone while members are unknown.
+pub(crate) fn is_relay(members: &[Member], instance: &Arc<str>, failure_domain: &str) -> bool {
+    let relays = relays(members, failure_domain);
+    relays.is_empty() || relays.iter().any(|relay| relay.instance == *instance)
+}
+
+/// The instance's turn to do what one of the relays should do; 0 is first.
+pub(crate) fn turn(key: u64, members: &[Member], instance: &Arc<str>) -> usize {
+    let candidates = members
+        .iter()
+        .filter(|member| is_relay(members, &member.instance, &member.failure_domain));
+    let ordered = by_rendezvous(key, candidates);
+    let own = ordered
+        .iter()
+        .position(|member| member.instance == *instance);
+    own.unwrap_or(ordered.len())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn member(instance: &str, failure_domain: &str) -> Member {
+        Member {
+            instance: instance.into(),
+            incarnation: 1,
+            failure_domain: failure_domain.into(),
+            address: "127.0.0.1:1".into(),
+            peer_address: "127.0.0.1:2".into(),
+            leaving: false,
+            suspect: false,
+            revision: 0,
+        }
+    }
+
+    #[test]
+    fn two_relays_a_failure_domain_and_another_when_one_leaves() {
+        let mut members: Vec<Member> = (0..6)
+            .map(|index| member(&format!("n{index}"), ["saiq", "shams"][index % 2]))
+            .collect();
+        let first = relays(&members, "saiq")[0].instance.clone();
+        assert_eq!(relays(&members, "saiq").len(), RELAYS);
+        for member in &mut members {
+            member.leaving = member.instance == first;
+        }
+        let after = relays(&members, "saiq");
+        assert_eq!(after.len(), RELAYS);
+        assert!(after.iter().all(|relay| relay.instance != first));
+    }
+
+    #[test]
+    fn every_relay_has_its_own_turn() {
+        let members: Vec<Member> = (0..6)
+            .map(|index| member(&format!("n{index}"), "saiq"))
+            .collect();
+        let mut turns: Vec<usize> = relays(&members, "saiq")
+            .iter()
+            .map(|relay| turn(5, &members, &relay.instance))
+            .collect();
+        turns.sort_unstable();
+        assert_eq!(turns, [0, 1]);
+    }
+}
--- a/flamingoscale/src/platform.rs
+++ b/flamingoscale/src/platform.rs
@@ -11,6 +11,10 @@
 };
 use futures::future::LocalBoxFuture;
 
+mod http;
+
+pub use http::HttpPlatform;
+
 use crate::wire::{
     ListedInstance,
     PlatformEndpoint,
--- a/flamingoscale/src/state.rs
+++ b/flamingoscale/src/state.rs
@@ -41,6 +41,7 @@
 
 mod endpoints;
 mod sequences;
+pub(crate) mod snapshot;
 
 pub use sequences::Sequences;
 
--- /dev/null
+++ b/flamingoscale/src/state/snapshot.rs
@@ -0,0 +1,193 @@
+//! The whole state as bytes in chunks, for new instances.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    record::Record,
+    state::State, //
+};
+
+/// The encoding of [`State`] that this build writes and reads.
+const SNAPSHOT_ENCODING: u8 = 1;
+
+/// Bytes of one chunk, well under the limit of a record.
+const CHUNK_BYTES: usize = 256 << 10;
+
+/// Most chunks of one snapshot that are put together.
+const MOST_CHUNKS: u32 = 256;
+
+/// Largest snapshot that is decoded.
+const SNAPSHOT_LIMIT_BYTES: usize = CHUNK_BYTES * MOST_CHUNKS as usize;
+
+/// Snapshots that may be under way at once, from several writers.
+const MOST_PARTIAL: usize = 4;
+
+/// One piece of a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Chunk {
+    /// The state after all records before this offset.
+    pub(crate) upto: u64,
+    /// The chunk's number.
+    pub(crate) chunk: u32,
+    /// How many chunks there are.
+    pub(crate) chunks: u32,
+    /// XXH3 of the whole snapshot.
+    pub(crate) digest: u64,
+    /// This chunk's bytes.
+    pub(crate) data: Bytes,
+}
+
+impl From<Chunk> for Record {
+    fn from(chunk: Chunk) -> Self {
+        Record::SnapshotChunk {
+            upto: chunk.upto,
+            chunk: chunk.chunk,
+            chunks: chunk.chunks,
+            digest: chunk.digest,
+            data: chunk.data,
+        }
+    }
+}
+
+/// Cuts the state into chunks. Equal states give equal bytes.
+pub(crate) fn chunks(state: &State) -> Vec<Chunk> {
+    let mut bytes = vec![SNAPSHOT_ENCODING];
+    let config = bincode::config::standard();
+    // The state holds only types that encode; an empty snapshot would be refused on reading.
+    let body = bincode::serde::encode_to_vec(state, config).unwrap_or_default();
+    bytes.extend_from_slice(&body);
+    let bytes = Bytes::from(bytes);
+    let digest = xxh3_64(&bytes);
+    let chunks = bytes.len().div_ceil(CHUNK_BYTES);
+    let cut = |chunk: usize| {
+        let start = chunk * CHUNK_BYTES;
+        let end = bytes.len().min(start + CHUNK_BYTES);
+        Chunk {
+            upto: state.folded,
+            chunk: chunk as u32,
+            chunks: chunks as u32,
+            digest,
+            data: bytes.slice(start..end),
+        }
+    };
+    (0..chunks).map(cut).collect()
+}
+
+fn decode(bytes: &[u8]) -> Option<State> {
+    let (&encoding, body) = bytes.split_first()?;
+    if encoding != SNAPSHOT_ENCODING {
+        return None;
+    }
+    let config = bincode::config::standard().with_limit::<SNAPSHOT_LIMIT_BYTES>();
+    let (state, used) = bincode::serde::decode_from_slice(body, config).ok()?;
+    (used == body.len()).then_some(state)
+}
+
+#[derive(Debug, Default)]
+struct Partial {
+    chunks: u32,
+    received: BTreeMap<u32, Bytes>,
+}
+
+/// Puts chunks of snapshots together, whatever their order, and whoever else writes one.
+#[derive(Debug, Default)]
+pub(crate) struct Assembler {
+    partial: BTreeMap<(u64, u64), Partial>,
+}
+
+impl Assembler {
+    /// Takes a chunk; returns the state once its snapshot is whole and undamaged.
+    pub(crate) fn add(&mut self, chunk: Chunk) -> Option<State> {
+        if chunk.chunks == 0 || chunk.chunks > MOST_CHUNKS || chunk.chunk >= chunk.chunks {
+            return None;
+        }
+        let name = (chunk.upto, chunk.digest);
+        let partial = self.partial.entry(name).or_default();
+        partial.chunks = chunk.chunks;
+        partial.received.insert(chunk.chunk, chunk.data);
+        if partial.received.len() < partial.chunks as usize {
+            self.forget_oldest();
+            return None;
+        }
+        let whole = self.partial.remove(&name)?.whole();
+        let state = (xxh3_64(&whole) == chunk.digest).then(|| decode(&whole))??;
+        (state.folded == chunk.upto).then_some(state)
+    }
+
+    fn forget_oldest(&mut self) {
+        while self.partial.len() > MOST_PARTIAL {
+            self.partial.pop_first();
+        }
+    }
+}
+
+impl Partial {
+    fn whole(self) -> Vec<u8> {
+        let mut whole = Vec::new();
+        for data in self.received.into_values() {
+            whole.extend_from_slice(&data);
+        }
+        whole
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::Envelope;
+
+    fn large_state() -> State {
+        let mut state = State::default();
+        for serial in 1..=8_000 {
+            let envelope = Envelope {
+                writer: "n1".into(),
+                incarnation: 1,
+                serial,
+                record: Record::KeyGranted {
+                    key_id: format!("fk-{serial}").into(),
+                    digest: [serial as u8; 32],
+                    organisation: "lodges".into(),
+                },
+            };
+            state.fold(serial, &envelope).expect("the keys are new");
+        }
+        state
+    }
+
+    #[test]
+    fn a_state_survives_in_any_order_of_chunks() {
+        let state = large_state();
+        let mut cut = chunks(&state);
+        assert!(cut.len() > 1);
+        cut.reverse();
+        let mut assembler = Assembler::default();
+        let restored = cut.into_iter().filter_map(|chunk| assembler.add(chunk));
+        assert_eq!(restored.collect::<Vec<_>>(), [state]);
+    }
+
+    #[test]
+    fn damaged_and_incomplete_snapshots_give_nothing() {
+        let cut = chunks(&large_state());
+        let mut assembler = Assembler::default();
+        for mut chunk in cut.iter().cloned() {
+            let mut data = chunk.data.to_vec();
+            data[0] ^= 1;
+            chunk.data = data.into();
+            assert!(assembler.add(chunk).is_none());
+        }
+        for chunk in cut.iter().skip(1).cloned() {
+            assert!(assembler.add(chunk).is_none());
+        }
+        let odd = Chunk {
+            upto: 1,
+            chunk: 7,
+            chunks: u32::MAX,
+            digest: 0,
+            data: Bytes::new(),
+        };
+        assert!(assembler.add(odd).is_none());
+    }
+}
