--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -29,6 +29,7 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod control;
 pub mod controller;
 pub mod dispatch;
 pub mod engine;
@@ -36,6 +37,7 @@
 pub mod home;
 pub mod instance;
 pub mod keys;
+pub mod lease;
 pub mod log;
 pub mod logging;
 pub mod membership;
