--- a/flamingoscale/src/controller/usage/tests.rs
+++ b/flamingoscale/src/controller/usage/tests.rs
@@ -6,10 +6,7 @@
 };
 
 use proptest::prelude::*;
-use rand::{
-    RngExt as _,
-    SeedableRng as _, //
-};
+use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
 use super::{
