Generate the configuration from a questionnaire

The questionnaire is INI with a section for each service, organisation, failure domain and trainer. It is checked as a whole: every fault is named at once with section, key and remedy, those between sections included. A lost race can be answered with the lines that differ. The examples of both users and the template are generated in tests.

--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod questionnaire;
 pub mod record;
 pub mod rollout;
 pub mod settings;
--- /dev/null
+++ b/flamingoscale/src/questionnaire.rs
@@ -0,0 +1,89 @@
+//! The questionnaire: answers in INI, checked as a whole, from which the configuration follows.
+//!
+//! See `docs/operators/questionnaire.md` and `docs/design/configuration.md`.
+
+use std::{
+    fmt,
+    sync::Arc, //
+};
+
+use ini::Ini;
+
+use crate::{
+    configuration::Configuration,
+    settings::Fault, //
+};
+
+mod check;
+mod difference;
+mod reader;
+
+pub use difference::difference;
+
+/// The result of reading a questionnaire.
+pub type Result<T> = std::result::Result<T, QuestionnaireError>;
+
+/// Largest questionnaire; with its configuration it fits one record of the log.
+const LONGEST_BYTES: usize = 256 << 10;
+
+/// All faults of a questionnaire at once.
+#[derive(Clone, Debug, PartialEq, Eq, derive_more::Error)]
+pub struct QuestionnaireError {
+    /// The faults, each with its section, key and remedy.
+    pub faults: Vec<Fault>,
+}
+
+impl fmt::Display for QuestionnaireError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for fault in &self.faults {
+            let (section, key) = (&fault.section, &fault.key);
+            writeln!(formatter, "[{section}] {key}: {}", fault.remedy)?;
+        }
+        Ok(())
+    }
+}
+
+/// Checks the answers and generates the configuration.
+///
+/// # Errors
+///
+/// Every fault at once; nothing is generated from faulty answers.
+pub fn generate(text: &str) -> Result<Configuration> {
+    if text.len() > LONGEST_BYTES {
+        let remedy = format!("over {LONGEST_BYTES} bytes: shorten the comments");
+        return Err(single_fault("", remedy));
+    }
+    let ini = Ini::load_from_str(text).map_err(|error| {
+        let remedy = format!(
+            "not INI ({}): write `key = value` under `[kind name]`",
+            error.msg
+        );
+        single_fault(&format!("line {}", error.line), remedy)
+    })?;
+    let (configuration, mut faults) = reader::read(&ini);
+    faults.extend(check::check(&configuration));
+    if faults.is_empty() {
+        return Ok(configuration);
+    }
+    Err(QuestionnaireError { faults })
+}
+
+fn single_fault(key: &str, remedy: String) -> QuestionnaireError {
+    let fault = fault("", key, remedy);
+    QuestionnaireError {
+        faults: vec![fault],
+    }
+}
+
+fn fault(section: &str, key: &str, remedy: impl Into<String>) -> Fault {
+    Fault {
+        section: Arc::from(section),
+        key: Arc::from(key),
+        remedy: remedy.into(),
+    }
+}
+
+/// A questionnaire for a new team to fill in, with a comment at every question.
+pub fn template() -> &'static str {
+    include_str!("questionnaire/template.ini")
+}
--- /dev/null
+++ b/flamingoscale/tests/questionnaire.rs
@@ -0,0 +1,77 @@
+//! Questionnaires: the examples pass, and every fault of a faulty one is named at once.
+
+use std::{
+    collections::BTreeSet,
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    }, //
+};
+
+use flamingoscale::{
+    configuration::ServiceKind,
+    questionnaire, //
+};
+
+fn file(path: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(path)
+}
+
+fn read(path: &str) -> String {
+    fs::read_to_string(file(path)).expect("the file is part of the repository")
+}
+
+#[test]
+fn the_template_passes() {
+    let configuration = questionnaire::generate(questionnaire::template());
+    let configuration = configuration.expect("the template is whole");
+    assert_eq!(configuration.failure_domains.len(), 2);
+    assert_eq!(configuration.tolerances, Default::default());
+}
+
+#[test]
+fn the_users_examples_pass() {
+    let wadi = questionnaire::generate(&read("../examples/wadi-piste.questionnaire.ini"));
+    let wadi = wadi.expect("the example is whole");
+    assert_eq!(wadi.failure_domains.len(), 4);
+    assert_eq!(wadi.organisations.len(), 8);
+    assert!(wadi.service("portal").is_some_and(|portal| portal.open));
+    let vagkant = questionnaire::generate(&read("../examples/vagkant.questionnaire.ini"));
+    let vagkant = vagkant.expect("the example is whole");
+    assert_eq!(vagkant.failure_domains.len(), 3);
+    let dispatch = vagkant.service("dispatch").expect("it is described");
+    assert_eq!(dispatch.kind, ServiceKind::Plain);
+    assert!(!dispatch.idempotent);
+    let region = vagkant.region("uppsala");
+    assert!(region.is_some() && region == vagkant.region("orebro"));
+}
+
+/// The faults that a file says it has.
+fn expected(text: &str) -> BTreeSet<(String, String)> {
+    let marked = text.lines().filter_map(|line| line.strip_prefix(";!"));
+    let parts = marked.filter_map(|line| line.rsplit_once('/'));
+    parts
+        .map(|(section, key)| (section.trim().to_owned(), key.trim().to_owned()))
+        .collect()
+}
+
+#[test]
+fn all_faults_of_every_faulty_file_are_named_at_once() {
+    let mut files = 0;
+    for entry in fs::read_dir(file("tests/questionnaires")).expect("the folder is there") {
+        let path = entry.expect("its entries can be read").path();
+        let text = fs::read_to_string(&path).expect("the file can be read");
+        let error = questionnaire::generate(&text).expect_err("the file is faulty");
+        let named: BTreeSet<(String, String)> = error
+            .faults
+            .iter()
+            .map(|fault| (fault.section.to_string(), fault.key.to_string()))
+            .collect();
+        assert_eq!(named, expected(&text), "{}", path.display());
+        let has_remedy = |fault: &flamingoscale::settings::Fault| !fault.remedy.is_empty();
+        assert!(error.faults.iter().all(has_remedy));
+        files += 1;
+    }
+    assert!(files >= 3, "the cases were not found");
+}
