Let orders follow the load, the floors and the loss of failure domains

The policy kept firm floors only. It now sizes each service by what callers and the deadlines of open steps need, up after seconds and down after minutes, puts cheap endpoints above the firm floor, spread so that the floor is left when any one failure domain is lost, and remembers where there was no room and what was taken back. Nothing is stopped while too few instances told their load. Instances tell it to the lease's holder, less often the more they are.

--- a/flamingoscale/src/controller/orders.rs
+++ b/flamingoscale/src/controller/orders.rs
@@ -5,6 +5,10 @@
 //! `docs/design/orders.md`.
 
 use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
     rc::Rc,
     sync::Arc,
     time::Duration, //
@@ -14,14 +18,33 @@
     Actor,
     AsyncContext as _,
     Context,
+    StreamHandler,
     WrapFuture as _, //
 };
+use futures::channel::mpsc;
+use tokio::time::timeout;
 
+mod fleet;
+mod loads;
+mod places;
 pub mod policy;
 pub mod protocol;
+mod target;
+
+pub use self::loads::{
+    Message,
+    Reply, //
+};
 
 use self::{
-    policy::Policy,
+    loads::{
+        tell_interval_ms,
+        LoadTable, //
+    },
+    policy::{
+        Facts,
+        Policy, //
+    },
     protocol::{
         Protocol,
         Step, //
@@ -35,6 +58,12 @@
 use crate::{
     instance::Instance,
     lease::Term,
+    peer::{
+        PeerHandler,
+        PeerReply,
+        PeerRequest,
+        ReplySender, //
+    },
     platform::PlatformError,
     record::Record,
     state::{
@@ -57,18 +86,59 @@
 /// valid, once more for the receiver's clock, and a margin for one that ignores fencing numbers.
 const ORDER_GUARD_MS: u64 = 3 * ORDER_VALID_MS;
 
+/// Longest wait for the holder to take a load.
+const TELL_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// Endpoints in one record.
 const ENDPOINTS_PER_RECORD: usize = 200;
 
+/// A message of a peer on its way to the control thread.
+struct Incoming {
+    from: Arc<str>,
+    message: Message,
+    reply: ReplySender,
+}
+
 /// Looks after the endpoints that there are.
 pub struct OrdersController {
     instance: Arc<Instance>,
+    sender: mpsc::UnboundedSender<Incoming>,
+    incoming: mpsc::UnboundedReceiver<Incoming>,
 }
 
 impl OrdersController {
     /// The controller of one instance.
     pub fn new(instance: Arc<Instance>) -> Self {
-        Self { instance }
+        let (sender, incoming) = mpsc::unbounded();
+        Self {
+            instance,
+            sender,
+            incoming,
+        }
+    }
+
+    /// The handler for [`PeerRequest::Orders`].
+    pub fn handler(&self) -> Arc<dyn PeerHandler> {
+        let sender = self.sender.clone();
+        Arc::new(Receiver { sender })
+    }
+}
+
+struct Receiver {
+    sender: mpsc::UnboundedSender<Incoming>,
+}
+
+impl PeerHandler for Receiver {
+    fn handle(&self, from: Arc<str>, request: PeerRequest, reply: ReplySender) {
+        if let PeerRequest::Orders(message) = request {
+            let incoming = Incoming {
+                from,
+                message,
+                reply,
+            };
+            // Once the control thread is gone, the dropped sender ends the stream.
+            let _ = self.sender.unbounded_send(incoming);
+        }
     }
 }
 
@@ -84,13 +154,18 @@
             tenure: Tenure::new(lease, context.clone(), ORDER_GUARD_MS),
             protocol: Protocol::new(ORDER_VALID_MS).into(),
             policy: Policy::new(seed).into(),
+            loads: RefCell::default(),
+            next_tell_ms: Cell::new(0),
             context,
-            busy: false.into(),
+            busy: Cell::new(false),
         };
-        OrdersActor {
-            keeper: Rc::new(keeper),
-        }
-        .start();
+        let incoming = self.incoming;
+        OrdersActor::create(|actor| {
+            actor.add_stream(incoming);
+            OrdersActor {
+                keeper: Rc::new(keeper),
+            }
+        });
     }
 }
 
@@ -106,6 +181,16 @@
     }
 }
 
+impl StreamHandler<Incoming> for OrdersActor {
+    fn handle(&mut self, incoming: Incoming, _: &mut Self::Context) {
+        let now_ms = self.keeper.context.instance.now_ms();
+        let Message::Load { loads } = incoming.message;
+        let mut table = self.keeper.loads.borrow_mut();
+        table.told(now_ms, incoming.from, loads);
+        let _ = incoming.reply.try_send(PeerReply::Orders(Reply::Taken));
+    }
+}
+
 impl OrdersActor {
     fn look(&mut self, context: &mut Context<Self>) {
         if self.keeper.busy.replace(true) {
@@ -123,14 +208,17 @@
 /// What one look needs; borrows never cross an await.
 struct Keeper {
     tenure: Tenure,
-    protocol: std::cell::RefCell<Protocol>,
-    policy: std::cell::RefCell<Policy>,
+    protocol: RefCell<Protocol>,
+    policy: RefCell<Policy>,
+    loads: RefCell<LoadTable>,
+    next_tell_ms: Cell<u64>,
     context: ControlContext,
-    busy: std::cell::Cell<bool>,
+    busy: Cell<bool>,
 }
 
 impl Keeper {
     async fn look(&self) {
+        self.tell_load();
         self.tenure.step().await;
         let Some(term) = self.tenure.term() else {
             self.protocol.borrow_mut().lost_lease();
@@ -147,6 +235,41 @@
         futures::future::join_all(performed).await;
     }
 
+    /// Tells the holder of the lease, whoever it is, what this instance's work asks for.
+    fn tell_load(&self) {
+        let instance = &self.context.instance;
+        let (now_ms, view) = (instance.now_ms(), instance.view.load());
+        if now_ms < self.next_tell_ms.get() {
+            return;
+        }
+        let interval_ms = tell_interval_ms(view.members.len());
+        self.next_tell_ms.set(now_ms + interval_ms);
+        let loads = instance.demand.loads();
+        let Some(holder) = self.holder() else {
+            return;
+        };
+        if holder == *instance.id() {
+            let mut table = self.loads.borrow_mut();
+            return table.told(now_ms, holder, loads);
+        }
+        let member = view.members.iter().find(|member| member.instance == holder);
+        let Some((member, peers)) = member.zip(instance.peers()) else {
+            return;
+        };
+        let request = PeerRequest::Orders(Message::Load { loads });
+        let stream = peers.open(&member.instance, &member.peer_address, request);
+        // A lost message is made up for by the next one.
+        actix_rt::spawn(async move {
+            let _ = timeout(TELL_LIMIT, stream.single(&holder)).await;
+        });
+    }
+
+    fn holder(&self) -> Option<Arc<str>> {
+        let state = self.context.state.borrow();
+        let entry = state.leases.get(&orders_lease(EVERYWHERE))?;
+        Some(entry.holder.clone())
+    }
+
     /// Appends what changed at the platform since the fold last heard of it.
     async fn mirror(&self, term: Term, listed: &[PlatformEndpoint]) {
         for record in self.changes(term, listed) {
@@ -195,8 +318,16 @@
         let state = self.context.state.borrow();
         let open = &state.open_orders;
         let configuration = &state.configuration;
+        let members = self.context.instance.view.load().members.clone();
+        let loads = self.loads.borrow_mut().total(now_ms, &members);
         let mut policy = self.policy.borrow_mut();
-        let wanted = policy.decide(now_ms, configuration, listed, open);
+        let facts = Facts {
+            configuration,
+            listed,
+            open,
+            loads: loads.as_ref(),
+        };
+        let wanted = policy.decide(now_ms, &facts);
         let mut protocol = self.protocol.borrow_mut();
         protocol.decide(term, open, listed, wanted)
     }
--- /dev/null
+++ b/flamingoscale/src/controller/orders/fleet.rs
@@ -0,0 +1,145 @@
+//! One service's endpoints by failure domain.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use crate::{
+    configuration::{
+        Configuration,
+        Service, //
+    },
+    state::OpenOrder,
+    wire::{
+        EndpointPhase,
+        PlatformAction,
+        PlatformEndpoint,
+        Tier, //
+    }, //
+};
+
+/// Endpoints of one failure domain, those under way included and leaving ones not.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Count {
+    pub(super) firm: u32,
+    pub(super) cheap: u32,
+}
+
+impl Count {
+    pub(super) fn total(self) -> u32 {
+        self.firm + self.cheap
+    }
+
+    pub(super) fn of(self, tier: Tier) -> u32 {
+        match tier {
+            Tier::Firm => self.firm,
+            Tier::Cheap => self.cheap,
+        }
+    }
+
+    fn add(&mut self, tier: Tier) {
+        match tier {
+            Tier::Firm => self.firm += 1,
+            Tier::Cheap => self.cheap += 1,
+        }
+    }
+}
+
+/// One service's endpoints, as they are or will be once all open orders are carried out.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Fleet<'listed> {
+    pub(super) by_domain: BTreeMap<Arc<str>, Count>,
+    pub(super) running: Vec<&'listed PlatformEndpoint>,
+    /// Stops that are under way.
+    pub(super) stops: u32,
+}
+
+impl<'listed> Fleet<'listed> {
+    pub(super) fn new(
+        configuration: &Configuration,
+        service: &Service,
+        listed: &'listed [PlatformEndpoint],
+        open: &BTreeMap<u64, OpenOrder>,
+    ) -> Self {
+        let mut fleet = Self::default();
+        for domain in &configuration.failure_domains {
+            fleet
+                .by_domain
+                .insert(domain.name.clone(), Count::default());
+        }
+        let is_stopped = |endpoint: &PlatformEndpoint| {
+            open.values().any(|order| match &order.action {
+                PlatformAction::Stop { endpoint: stopped } => *stopped == endpoint.endpoint,
+                PlatformAction::Start { .. } => false,
+            })
+        };
+        for endpoint in listed {
+            let ours = endpoint.service == service.name;
+            if !ours || endpoint.phase == EndpointPhase::Leaving {
+                continue;
+            }
+            if is_stopped(endpoint) {
+                fleet.stops += 1;
+                continue;
+            }
+            fleet.add(&endpoint.failure_domain, endpoint.tier);
+            fleet.running.push(endpoint);
+        }
+        for (number, order) in open {
+            let visible = listed.iter().any(|endpoint| endpoint.order == *number);
+            if let PlatformAction::Start {
+                service: of,
+                failure_domain,
+                tier,
+            } = &order.action
+            {
+                if *of == service.name && !visible {
+                    fleet.add(failure_domain, *tier);
+                }
+            }
+        }
+        fleet
+    }
+
+    pub(super) fn add(&mut self, failure_domain: &Arc<str>, tier: Tier) {
+        let count = self.by_domain.entry(failure_domain.clone()).or_default();
+        count.add(tier);
+    }
+
+    pub(super) fn total(&self) -> u32 {
+        self.by_domain.values().map(|count| count.total()).sum()
+    }
+
+    pub(super) fn firm(&self) -> u32 {
+        self.by_domain.values().map(|count| count.firm).sum()
+    }
+
+    /// What is left when the failure domain with the most is lost.
+    pub(super) fn survivors(&self) -> u32 {
+        let counts = self.by_domain.values();
+        let fullest = counts.map(|count| count.total()).max();
+        self.total() - fullest.unwrap_or(0)
+    }
+
+    /// What would be left after the loss of any failure domain, had this endpoint been stopped.
+    pub(super) fn survivors_without(&self, endpoint: &PlatformEndpoint) -> u32 {
+        let mut rest = self.clone();
+        if let Some(count) = rest.by_domain.get_mut(&endpoint.failure_domain) {
+            match endpoint.tier {
+                Tier::Firm => count.firm = count.firm.saturating_sub(1),
+                Tier::Cheap => count.cheap = count.cheap.saturating_sub(1),
+            }
+        }
+        rest.survivors()
+    }
+}
+
+/// The fewest endpoints over `domains` failure domains of which `floor` are left when any one is
+/// lost; with one failure domain nothing can help.
+pub(super) fn surviving_size(floor: u32, domains: u32) -> u32 {
+    match domains {
+        0 | 1 => floor,
+        domains => floor + floor.div_ceil(domains - 1),
+    }
+}
--- a/flamingoscale/src/controller/orders/tests.rs
+++ b/flamingoscale/src/controller/orders/tests.rs
@@ -302,7 +302,13 @@
             return Stage::Fold;
         };
         let open = &self.state.open_orders;
-        let wanted = self.policy.decide(now_ms, &configuration(), listed, open);
+        let facts = Facts {
+            configuration: &configuration(),
+            listed,
+            open,
+            loads: None,
+        };
+        let wanted = self.policy.decide(now_ms, &facts);
         let steps = self.protocol.decide(term, open, listed, wanted);
         Stage::Work(steps.into())
     }
--- a/flamingoscale/src/instance.rs
+++ b/flamingoscale/src/instance.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     clock::Clock,
+    demand::DemandBoard,
     dispatch::Dispatch,
     metrics::Metrics,
     peer::Peers,
@@ -66,6 +67,8 @@
     pub metrics: Metrics,
     /// Usage that is not yet in the log.
     pub usage: UsageCounter,
+    /// What this instance's work asks of endpoints.
+    pub demand: DemandBoard,
     peers: OnceLock<Arc<dyn Peers>>,
     control: OnceLock<Arc<dyn Control>>,
     dispatch: OnceLock<Arc<dyn Dispatch>>,
@@ -97,6 +100,7 @@
             timeline,
             metrics: Metrics::default(),
             usage: UsageCounter::default(),
+            demand: DemandBoard::default(),
             peers: OnceLock::new(),
             control: OnceLock::new(),
             dispatch: OnceLock::new(),
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod configuration;
 pub mod control;
 pub mod controller;
+pub mod demand;
 pub mod dispatch;
 pub mod engine;
 pub mod gateway;
--- a/flamingoscale/src/peer.rs
+++ b/flamingoscale/src/peer.rs
@@ -28,6 +28,7 @@
 };
 
 use crate::{
+    controller::orders,
     dispatch,
     gateway,
     log,
@@ -96,6 +97,8 @@
     Rollout(rollout::Message),
     /// Copies of usage counts.
     Usage(usage::Message),
+    /// Loads for the holder of the orders lease.
+    Orders(orders::Message),
 }
 
 /// What a peer answers.
@@ -114,6 +117,8 @@
     Rollout(rollout::Reply),
     /// To [`PeerRequest::Usage`].
     Usage(usage::Reply),
+    /// To [`PeerRequest::Orders`].
+    Orders(orders::Reply),
 }
 
 /// What travels in one direction of a stream, with the sender's time-line stamp.
@@ -188,6 +193,7 @@
     gateway: Option<Arc<dyn PeerHandler>>,
     rollout: Option<Arc<dyn PeerHandler>>,
     usage: Option<Arc<dyn PeerHandler>>,
+    orders: Option<Arc<dyn PeerHandler>>,
 }
 
 impl PeerRouter {
@@ -227,6 +233,12 @@
         self
     }
 
+    /// Sets the handler of [`PeerRequest::Orders`].
+    pub fn orders(mut self, handler: Arc<dyn PeerHandler>) -> Self {
+        self.orders = Some(handler);
+        self
+    }
+
     /// The handler of a request; none if this instance has none for its kind.
     fn handler(&self, request: &PeerRequest) -> Option<&Arc<dyn PeerHandler>> {
         let handler = match request {
@@ -236,6 +248,7 @@
             PeerRequest::Gateway(_) => &self.gateway,
             PeerRequest::Rollout(_) => &self.rollout,
             PeerRequest::Usage(_) => &self.usage,
+            PeerRequest::Orders(_) => &self.orders,
         };
         handler.as_ref()
     }
