--- a/flamingoscale/src/engine.rs
+++ b/flamingoscale/src/engine.rs
@@ -1,5 +1,10 @@
 //! The border to model engines.
 
+pub(crate) mod client;
+pub(crate) mod events;
+pub mod http;
+pub(crate) mod run;
+
 use futures::future::LocalBoxFuture;
 
 use crate::wire::{
--- /dev/null
+++ b/flamingoscale/src/engine/events.rs
@@ -0,0 +1,90 @@
+//! Server-sent events, from bytes that arrive in any pieces.
+
+use bytes::{
+    Buf,
+    BytesMut, //
+};
+
+/// Longest event that is read.
+const LONGEST_EVENT_BYTES: usize = 1 << 20;
+
+/// An event grew past its limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TooLong;
+
+/// Splits a byte stream into the data of its events.
+#[derive(Debug, Default)]
+pub(crate) struct EventParser {
+    buffer: BytesMut,
+}
+
+impl EventParser {
+    /// Takes in bytes.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the data of the next whole event that has any.
+    pub(crate) fn next(&mut self) -> Result<Option<String>, TooLong> {
+        loop {
+            let Some((end, gap)) = find_end(&self.buffer) else {
+                let long = self.buffer.len() > LONGEST_EVENT_BYTES;
+                return if long { Err(TooLong) } else { Ok(None) };
+            };
+            let event = self.buffer.split_to(end);
+            self.buffer.advance(gap);
+            if let Some(data) = data_of(&event) {
+                return Ok(Some(data));
+            }
+        }
+    }
+}
+
+/// Finds the empty line that ends an event, and how long it is.
+fn find_end(bytes: &[u8]) -> Option<(usize, usize)> {
+    let lf = bytes.windows(2).position(|pair| pair == b"\n\n");
+    let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n");
+    match (lf, crlf) {
+        (Some(lf), Some(crlf)) if crlf < lf => Some((crlf, 4)),
+        (Some(lf), _) => Some((lf, 2)),
+        (None, Some(crlf)) => Some((crlf, 4)),
+        (None, None) => None,
+    }
+}
+
+fn data_of(event: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(event);
+    let lines = text.lines().filter_map(|line| line.strip_prefix("data:"));
+    let data: Vec<&str> = lines
+        .map(|line| line.strip_prefix(' ').unwrap_or(line))
+        .collect();
+    (!data.is_empty()).then(|| data.join("\n"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn pieces_make_the_same_events_wherever_they_are_cut() {
+        let stream = b": note\n\ndata: one\n\ndata: two\r\ndata:three\r\n\r\nevent: x\ndata: [DONE]\n\n";
+        for cut in 0..stream.len() {
+            let mut parser = EventParser::default();
+            let mut events = Vec::new();
+            for piece in [&stream[..cut], &stream[cut..]] {
+                parser.push(piece);
+                while let Ok(Some(event)) = parser.next() {
+                    events.push(event);
+                }
+            }
+            assert_eq!(events, ["one", "two\nthree", "[DONE]"], "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn an_endless_event_is_refused() {
+        let mut parser = EventParser::default();
+        parser.push(&vec![b'a'; LONGEST_EVENT_BYTES + 1]);
+        assert_eq!(parser.next(), Err(TooLong));
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/engine/http.rs
@@ -0,0 +1,119 @@
+//! The control face of engines over HTTP.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use awc::http::StatusCode;
+use futures::future::{
+    FutureExt as _,
+    LocalBoxFuture, //
+};
+use serde::de::DeserializeOwned;
+
+use crate::{
+    engine::{
+        client,
+        EngineControl,
+        EngineError,
+        Result, //
+    },
+    wire::{
+        CacheEvents,
+        EndpointStatus,
+        EngineOrder,
+        KvExport,
+        RequestRef, //
+    }, //
+};
+
+/// Longest wait for an answer of the control face.
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Longest wait for exported KV cache.
+const EXPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Largest answer of the control face.
+const LARGEST_ANSWER_BYTES: usize = 16 << 20;
+
+/// The control face of engines, reached by address. It also reads the status of plain services.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HttpEngineControl;
+
+impl EngineControl for HttpEngineControl {
+    fn status(&self, address: &str) -> LocalBoxFuture<'_, Result<EndpointStatus>> {
+        get(address.into(), "/admin/status".into()).boxed_local()
+    }
+
+    fn order(&self, address: &str, order: EngineOrder) -> LocalBoxFuture<'_, Result<()>> {
+        give_order(address.into(), order).boxed_local()
+    }
+
+    fn cache_events(&self, address: &str, after: u64) -> LocalBoxFuture<'_, Result<CacheEvents>> {
+        let path = format!("/admin/cache_events?after={after}");
+        get(address.into(), path).boxed_local()
+    }
+}
+
+async fn get<T: DeserializeOwned>(address: Arc<str>, path: String) -> Result<T> {
+    let answer = tokio::time::timeout(CONTROL_TIMEOUT, read_json(&address, &path)).await;
+    let answer = answer.unwrap_or(Err(EngineError::Lost));
+    if matches!(answer, Err(EngineError::Lost)) {
+        client::forget(&address);
+    }
+    answer
+}
+
+async fn read_json<T: DeserializeOwned>(address: &Arc<str>, path: &str) -> Result<T> {
+    let url = format!("http://{address}{path}");
+    let sent = client::pooled(address).get(url).send().await;
+    let mut response = sent.map_err(|_| EngineError::Lost)?;
+    check(response.status())?;
+    let body = response.json::<T>().limit(LARGEST_ANSWER_BYTES).await;
+    body.map_err(|_| EngineError::Lost)
+}
+
+async fn give_order(address: Arc<str>, order: EngineOrder) -> Result<()> {
+    let url = format!("http://{address}/admin/orders");
+    // An order gets a connection of its own, so that a silent one can't swallow it.
+    let sent = client::fresh().post(url).force_close().send_json(&order);
+    let answer = tokio::time::timeout(CONTROL_TIMEOUT, sent).await;
+    let response = answer.map_err(|_| EngineError::Lost)?;
+    let response = response.map_err(|_| EngineError::Lost)?;
+    check(response.status())
+}
+
+fn check(status: StatusCode) -> Result<()> {
+    match status {
+        status if status.is_success() => Ok(()),
+        StatusCode::CONFLICT => Err(EngineError::Fenced),
+        status => Err(EngineError::Refused {
+            status: status.as_u16(),
+        }),
+    }
+}
+
+/// Asks an engine to stop a request; whether it did so is of no further interest.
+pub(crate) async fn cancel(address: Arc<str>, request_id: Arc<str>) {
+    let url = format!("http://{address}/v1/cancel");
+    let body = RequestRef { request_id };
+    let sent = client::fresh().post(url).force_close().send_json(&body);
+    let _ = tokio::time::timeout(CONTROL_TIMEOUT, sent).await;
+}
+
+/// Takes the KV cache of a running request out of an engine, which stops it there.
+pub(crate) async fn export(address: Arc<str>, request_id: Arc<str>) -> Option<KvExport> {
+    let url = format!("http://{address}/v1/kv/export");
+    let body = RequestRef { request_id };
+    let ask = async {
+        let sent = client::fresh().post(url).force_close().send_json(&body);
+        let mut response = sent.await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let body = response.json::<KvExport>().limit(LARGEST_ANSWER_BYTES);
+        body.await.ok()
+    };
+    tokio::time::timeout(EXPORT_TIMEOUT, ask).await.ok()?
+}
--- a/flamingoscale/src/home.rs
+++ b/flamingoscale/src/home.rs
@@ -4,6 +4,9 @@
 
 use crate::view::EndpointKey;
 
+pub(crate) mod desk;
+pub mod table;
+
 /// What the home of an endpoint knows of it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HomeFacts {
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod platform;
 pub mod record;
 pub mod rollout;
+pub mod routing;
 pub mod settings;
 pub mod state;
 pub mod timeline;
--- /dev/null
+++ b/flamingoscale/src/routing/fair.rs
@@ -0,0 +1,331 @@
+//! The fair queue of one endpoint: max-min over organisations in tokens, interactive requests
+//! before rollouts, and a floor for rollouts so that they never starve.
+//!
+//! Start-time fair queueing: each flow has a virtual time that grows by tokens over weight as its
+//! requests start, and the flow that is furthest behind goes next. An estimate is charged at the
+//! start and settled at the end. See `docs/design/fairness.md`.
+
+use std::{
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
+    sync::Arc, //
+};
+
+use crate::dispatch::Class;
+
+/// Virtual time per token of a flow with weight one.
+const SCALE: u64 = 1_000;
+
+/// Interactive tokens that earn waiting rollouts one token.
+const INTERACTIVE_PER_ROLLOUT: u64 = 4;
+
+/// The most tokens that waiting rollouts can be owed.
+const LARGEST_DEBT_TOKENS: u64 = 1_000_000;
+
+/// Whose turn a request waits for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Flow {
+    /// Whether it is a rollout.
+    pub rollout: bool,
+    /// The organisation, or the trainer of a rollout.
+    pub name: Arc<str>,
+    /// Its share, relative to the others'.
+    pub weight: u32,
+}
+
+impl Flow {
+    /// The flow of a piece of work, where `weight` is that of the organisation or trainer.
+    pub fn new(class: &Class, organisation: &Arc<str>, weight: u32) -> Self {
+        let (rollout, name) = match class {
+            Class::Interactive => (false, organisation.clone()),
+            Class::Rollout { trainer } => (true, trainer.clone()),
+        };
+        Self {
+            rollout,
+            name,
+            weight: weight.max(1),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct FlowQueue<T> {
+    waiting: VecDeque<(T, u64)>,
+    virtual_time: u64,
+    weight: u64,
+}
+
+#[derive(Debug)]
+struct ClassQueue<T> {
+    flows: HashMap<Arc<str>, FlowQueue<T>>,
+    virtual_now: u64,
+    len: usize,
+}
+
+/// Requests that wait for one endpoint.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    interactive: ClassQueue<T>,
+    rollouts: ClassQueue<T>,
+    rollout_debt_tokens: u64,
+    cost_tokens: u64,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        Self {
+            interactive: ClassQueue::default(),
+            rollouts: ClassQueue::default(),
+            rollout_debt_tokens: 0,
+            cost_tokens: 0,
+        }
+    }
+}
+
+impl<T> Default for ClassQueue<T> {
+    fn default() -> Self {
+        Self {
+            flows: HashMap::new(),
+            virtual_now: 0,
+            len: 0,
+        }
+    }
+}
+
+impl<T: PartialEq> FairQueue<T> {
+    /// Puts a request at the end of its flow.
+    pub fn push(&mut self, flow: &Flow, item: T, cost_tokens: u64) {
+        self.cost_tokens += cost_tokens;
+        let class = self.class(flow.rollout);
+        class.flow(flow).waiting.push_back((item, cost_tokens));
+        class.len += 1;
+    }
+
+    /// Takes the request whose turn it is and charges its estimate. With `interactive_only`,
+    /// rollouts stay where they are.
+    pub fn pop(&mut self, interactive_only: bool) -> Option<(T, u64)> {
+        let owed = self.rollouts.next_cost();
+        let rollout_turn = match owed {
+            _ if interactive_only => false,
+            None => false,
+            Some(cost) => self.interactive.len == 0 || self.rollout_debt_tokens >= cost,
+        };
+        let popped = self.class(rollout_turn).pop()?;
+        self.cost_tokens = self.cost_tokens.saturating_sub(popped.1);
+        self.account(rollout_turn, popped.1);
+        Some(popped)
+    }
+
+    /// Charges a request that starts without waiting.
+    pub fn charge(&mut self, flow: &Flow, cost_tokens: u64) {
+        let class = self.class(flow.rollout);
+        let queue = class.flow(flow);
+        let start = queue.virtual_time;
+        queue.virtual_time += cost_tokens * SCALE / queue.weight;
+        class.virtual_now = class.virtual_now.max(start);
+    }
+
+    /// Corrects the charge of a finished request from its estimate to what it used.
+    pub fn settle(&mut self, flow: &Flow, estimate_tokens: u64, used_tokens: u64) {
+        let class = self.class(flow.rollout);
+        let queue = class.flow(flow);
+        let charged = estimate_tokens * SCALE / queue.weight;
+        let due = used_tokens * SCALE / queue.weight;
+        queue.virtual_time = (queue.virtual_time + due).saturating_sub(charged);
+        class.forget_idle();
+    }
+
+    /// Takes a waiting request out; returns whether it was there.
+    pub fn remove(&mut self, flow: &Flow, item: &T) -> bool {
+        let class = self.class(flow.rollout);
+        let Some(queue) = class.flows.get_mut(&flow.name) else {
+            return false;
+        };
+        let Some(position) = queue.waiting.iter().position(|(other, _)| other == item) else {
+            return false;
+        };
+        let cost = queue.waiting.remove(position).map_or(0, |(_, cost)| cost);
+        class.len -= 1;
+        self.cost_tokens = self.cost_tokens.saturating_sub(cost);
+        true
+    }
+
+    /// How many requests wait.
+    pub fn len(&self) -> usize {
+        self.interactive.len + self.rollouts.len
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// The estimated tokens that a new request of the flow would wait for at most: those of its
+    /// own class, and for rollouts the interactive ones before them.
+    pub fn ahead_tokens(&self) -> u64 {
+        self.cost_tokens
+    }
+
+    fn account(&mut self, rollout: bool, cost: u64) {
+        if rollout {
+            self.rollout_debt_tokens = self.rollout_debt_tokens.saturating_sub(cost);
+        } else if self.rollouts.len > 0 {
+            let owed = self.rollout_debt_tokens + cost / INTERACTIVE_PER_ROLLOUT;
+            self.rollout_debt_tokens = owed.min(LARGEST_DEBT_TOKENS);
+        }
+    }
+
+    fn class(&mut self, rollout: bool) -> &mut ClassQueue<T> {
+        if rollout {
+            &mut self.rollouts
+        } else {
+            &mut self.interactive
+        }
+    }
+}
+
+impl<T> ClassQueue<T> {
+    /// The queue of a flow. One that was idle starts at the present and gets no credit for it.
+    fn flow(&mut self, flow: &Flow) -> &mut FlowQueue<T> {
+        let now = self.virtual_now;
+        let entry = self.flows.entry(flow.name.clone());
+        let queue = entry.or_insert_with(|| FlowQueue {
+            waiting: VecDeque::new(),
+            virtual_time: now,
+            weight: 1,
+        });
+        queue.weight = u64::from(flow.weight.max(1));
+        if queue.waiting.is_empty() {
+            queue.virtual_time = queue.virtual_time.max(now);
+        }
+        queue
+    }
+
+    fn next(&self) -> Option<&Arc<str>> {
+        let waiting = self.flows.iter().filter(|(_, q)| !q.waiting.is_empty());
+        waiting
+            .min_by_key(|(name, queue)| (queue.virtual_time, *name))
+            .map(|(name, _)| name)
+    }
+
+    fn next_cost(&self) -> Option<u64> {
+        let queue = self.flows.get(self.next()?)?;
+        queue.waiting.front().map(|(_, cost)| *cost)
+    }
+
+    fn pop(&mut self) -> Option<(T, u64)> {
+        let name = self.next()?.clone();
+        let queue = self.flows.get_mut(&name)?;
+        let (item, cost) = queue.waiting.pop_front()?;
+        self.virtual_now = self.virtual_now.max(queue.virtual_time);
+        queue.virtual_time += cost * SCALE / queue.weight;
+        self.len -= 1;
+        Some((item, cost))
+    }
+
+    fn forget_idle(&mut self) {
+        let now = self.virtual_now;
+        self.flows
+            .retain(|_, queue| !queue.waiting.is_empty() || queue.virtual_time > now);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn flow(rollout: bool, name: &str, weight: u32) -> Flow {
+        Flow {
+            rollout,
+            name: name.into(),
+            weight,
+        }
+    }
+
+    fn tokens_of(queue: &mut FairQueue<&'static str>, pops: usize) -> HashMap<&'static str, u64> {
+        let mut tokens = HashMap::new();
+        for _ in 0..pops {
+            let Some((name, cost)) = queue.pop(false) else {
+                break;
+            };
+            *tokens.entry(name).or_insert(0) += cost;
+        }
+        tokens
+    }
+
+    #[test]
+    fn a_flood_does_not_hold_others_back() {
+        let mut queue = FairQueue::default();
+        for _ in 0..1_000 {
+            queue.push(&flow(false, "flood", 1), "flood", 100);
+        }
+        for _ in 0..10 {
+            queue.push(&flow(false, "small", 1), "small", 100);
+        }
+        assert_eq!(tokens_of(&mut queue, 20)["small"], 1_000);
+    }
+
+    #[test]
+    fn shares_follow_weights_in_tokens_not_requests() {
+        let mut queue = FairQueue::default();
+        for _ in 0..1_000 {
+            queue.push(&flow(false, "long", 1), "long", 400);
+            queue.push(&flow(false, "short", 2), "short", 50);
+        }
+        let tokens = tokens_of(&mut queue, 500);
+        let ratio = tokens["short"] as f64 / tokens["long"] as f64;
+        assert!((1.8..2.2).contains(&ratio), "{ratio}");
+    }
+
+    #[test]
+    fn rollouts_get_a_fifth_while_interactive_waits() {
+        let mut queue = FairQueue::default();
+        for _ in 0..1_000 {
+            queue.push(&flow(false, "org", 1), "interactive", 100);
+            queue.push(&flow(true, "trainer", 1), "rollout", 100);
+        }
+        let tokens = tokens_of(&mut queue, 500);
+        assert_eq!(tokens["rollout"], 10_000);
+        assert_eq!(tokens["interactive"], 40_000);
+    }
+
+    #[test]
+    fn settling_gives_back_what_was_not_used() {
+        let mut queue = FairQueue::default();
+        let (early, other) = (flow(false, "early", 1), flow(false, "other", 1));
+        queue.push(&early, "early", 1_000);
+        queue.push(&early, "early", 1_000);
+        queue.push(&other, "other", 500);
+        queue.push(&other, "other", 500);
+        assert_eq!(queue.pop(false), Some(("early", 1_000)));
+        queue.settle(&early, 1_000, 10);
+        assert_eq!(queue.pop(false), Some(("other", 500)));
+        assert_eq!(queue.pop(false), Some(("early", 1_000)));
+    }
+
+    #[test]
+    fn an_idle_flow_saves_no_credit() {
+        let mut queue = FairQueue::default();
+        for _ in 0..100 {
+            queue.push(&flow(false, "busy", 1), "busy", 100);
+        }
+        tokens_of(&mut queue, 50);
+        for _ in 0..100 {
+            queue.push(&flow(false, "late", 1), "late", 100);
+        }
+        assert_eq!(tokens_of(&mut queue, 20)["late"], 1_000);
+    }
+
+    #[test]
+    fn removed_requests_leave_no_cost_behind() {
+        let mut queue = FairQueue::default();
+        let org = flow(false, "org", 1);
+        queue.push(&org, "a", 70);
+        assert!(queue.remove(&org, &"a"));
+        assert!(!queue.remove(&org, &"a"));
+        assert!(queue.is_empty());
+        assert_eq!(queue.ahead_tokens(), 0);
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/routing/load.rs
@@ -0,0 +1,87 @@
+//! What an entry knows of an endpoint's load: its own requests, and the home's last word.
+
+use std::sync::atomic::{
+    AtomicU32,
+    AtomicU64,
+    Ordering, //
+};
+
+/// A home's report counts for this long; after it only the entry's own requests do.
+const REPORT_VALID_MS: u64 = 1_000;
+
+/// The load of one endpoint as one entry sees it. Traffic threads share it without a lock; a
+/// torn read costs a worse choice, never correctness.
+#[derive(Debug, Default)]
+pub struct EndpointLoad {
+    own: AtomicU32,
+    reported: AtomicU32,
+    own_at_report: AtomicU32,
+    reported_at_ms: AtomicU64,
+    closed_until_ms: AtomicU64,
+}
+
+impl EndpointLoad {
+    /// Counts a request that this entry sends there.
+    pub fn begin(&self) {
+        self.own.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts the end of such a request.
+    pub fn end(&self) {
+        self.own.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    /// Takes in what the home said: requests in flight and waiting, from all entries.
+    pub fn report(&self, requests: u32, now_ms: u64) {
+        self.reported.store(requests, Ordering::Relaxed);
+        let own = self.own.load(Ordering::Relaxed);
+        self.own_at_report.store(own, Ordering::Relaxed);
+        self.reported_at_ms.store(now_ms.max(1), Ordering::Relaxed);
+    }
+
+    /// Keeps new requests away until then: the endpoint refused or could not be reached.
+    pub fn close(&self, until_ms: u64) {
+        self.closed_until_ms.store(until_ms, Ordering::Relaxed);
+    }
+
+    /// Whether new requests may go there.
+    pub fn is_open(&self, now_ms: u64) -> bool {
+        now_ms >= self.closed_until_ms.load(Ordering::Relaxed)
+    }
+
+    /// The requests that are there by the best guess.
+    pub fn estimate(&self, now_ms: u64) -> u32 {
+        let own = self.own.load(Ordering::Relaxed);
+        let at_ms = self.reported_at_ms.load(Ordering::Relaxed);
+        if at_ms == 0 || now_ms.saturating_sub(at_ms) > REPORT_VALID_MS {
+            return own;
+        }
+        let reported = self.reported.load(Ordering::Relaxed);
+        let since = own.saturating_sub(self.own_at_report.load(Ordering::Relaxed));
+        own.max(reported.saturating_add(since))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn own_requests_come_on_top_of_the_report() {
+        let load = EndpointLoad::default();
+        load.begin();
+        load.report(5, 100);
+        load.begin();
+        load.begin();
+        assert_eq!(load.estimate(200), 7);
+        assert_eq!(load.estimate(100 + REPORT_VALID_MS + 1), 3);
+    }
+
+    #[test]
+    fn a_closed_endpoint_opens_by_itself() {
+        let load = EndpointLoad::default();
+        load.close(500);
+        assert!(!load.is_open(499));
+        assert!(load.is_open(500));
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/routing/rendezvous.rs
@@ -0,0 +1,112 @@
+//! Rendezvous hashing: every instance computes the same home or owner from the same members,
+//! and a change of members moves only what the changed member held.
+
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
+
+use crate::view::Member;
+
+/// The weight of `candidate` for `id`; the highest wins.
+fn rank(id_hash: u64, candidate: &str) -> u64 {
+    xxh3_64_with_seed(candidate.as_bytes(), id_hash)
+}
+
+/// Returns the home of an endpoint: the best ranked of the members that stay, those of the
+/// endpoint's own failure domain first.
+pub fn home<'a>(endpoint: &str, failure_domain: &str, members: &'a [Member]) -> Option<&'a Member> {
+    let id_hash = xxh3_64(endpoint.as_bytes());
+    members
+        .iter()
+        .filter(|member| !member.leaving)
+        .max_by_key(|member| {
+            let near = &*member.failure_domain == failure_domain;
+            (near, rank(id_hash, &member.instance), &member.instance)
+        })
+}
+
+/// Returns the best ranked member for a key, leaving ones excepted.
+pub fn owner(key: u64, members: &[Member]) -> Option<&Member> {
+    members
+        .iter()
+        .filter(|member| !member.leaving)
+        .max_by_key(|member| (rank(key, &member.instance), &member.instance))
+}
+
+/// Returns the member that keeps the second copy for a key: the best ranked behind the owner,
+/// one of another failure domain first.
+pub fn second<'a>(key: u64, owner: &Member, members: &'a [Member]) -> Option<&'a Member> {
+    members
+        .iter()
+        .filter(|member| !member.leaving && member.instance != owner.instance)
+        .max_by_key(|member| {
+            let apart = member.failure_domain != owner.failure_domain;
+            (apart, rank(key, &member.instance), &member.instance)
+        })
+}
+
+#[cfg(test)]
+mod tests {
+    use std::collections::BTreeMap;
+
+    use super::*;
+
+    fn members(count: usize) -> Vec<Member> {
+        (0..count)
+            .map(|number| Member {
+                instance: format!("n{number}").into(),
+                incarnation: 1,
+                failure_domain: format!("d{}", number % 3).into(),
+                address: "127.0.0.1:1".into(),
+                peer_address: "127.0.0.1:2".into(),
+                leaving: false,
+                suspect: false,
+                revision: 1,
+            })
+            .collect()
+    }
+
+    #[test]
+    fn homes_are_near_and_spread() {
+        let members = members(12);
+        let mut counts = BTreeMap::new();
+        for number in 0..1_200 {
+            let home = home(&format!("e{number}"), "d1", &members).expect("there are members");
+            assert_eq!(&*home.failure_domain, "d1");
+            *counts.entry(home.instance.clone()).or_insert(0) += 1;
+        }
+        assert_eq!(counts.len(), 4);
+        assert!(counts.values().all(|count| (200..400).contains(count)));
+    }
+
+    #[test]
+    fn a_leaving_member_moves_only_its_own() {
+        let before = members(9);
+        let mut after = before.clone();
+        after[4].leaving = true;
+        for number in 0..500 {
+            let endpoint = format!("e{number}");
+            let old = home(&endpoint, "d1", &before).expect("there are members");
+            let new = home(&endpoint, "d1", &after).expect("there are members");
+            assert!(old.instance == new.instance || old.instance == before[4].instance);
+            assert_ne!(new.instance, before[4].instance);
+        }
+    }
+
+    #[test]
+    fn an_empty_failure_domain_is_served_from_another() {
+        assert!(home("e1", "elsewhere", &members(3)).is_some());
+        assert!(home("e1", "d1", &[]).is_none());
+    }
+
+    #[test]
+    fn the_second_copy_is_in_another_failure_domain() {
+        let members = members(12);
+        for key in 0..200 {
+            let first = owner(key, &members).expect("there are members");
+            let copy = second(key, first, &members).expect("there are more members");
+            assert_ne!(first.failure_domain, copy.failure_domain);
+        }
+    }
+}
