--- a/flamingoscale/src/dispatch.rs
+++ b/flamingoscale/src/dispatch.rs
@@ -1,5 +1,11 @@
 //! Getting one piece of work to an endpoint: entry, home, engine or plain service.
 
+mod dispatcher;
+mod entry;
+mod run;
+
+pub use dispatcher::Dispatcher;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -8,6 +14,7 @@
     Serialize, //
 };
 use tokio::sync::mpsc;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     outcome::Outcome,
@@ -79,7 +86,33 @@
     pub alone: bool,
 }
 
+impl Work {
+    /// Tells requests apart that may crash an endpoint: the same text for the same service has
+    /// the same fingerprint, whoever sends it and however often.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(self.service.as_bytes());
+        match &self.body {
+            WorkBody::Completion(request) => {
+                hasher.update(request.prompt.as_bytes());
+                hasher.update(&request.max_tokens.to_le_bytes());
+            }
+            WorkBody::Plain {
+                method, path, body, ..
+            } => {
+                hasher.update(method.as_bytes());
+                hasher.update(path.as_bytes());
+                hasher.update(body);
+            }
+        }
+        hasher.digest()
+    }
+}
+
 /// What comes back of a piece of work, in order.
+///
+/// A try that failed may be followed by another, which shows as a second [`WorkEvent::Started`];
+/// chunks and bodies only ever come of one try, so they can be put together as they come.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum WorkEvent {
     /// An endpoint took the work.
@@ -100,6 +133,11 @@
     Body(Bytes),
     /// The last event, always sent unless the sender died.
     Done(Outcome<Summary>),
+    /// How busy the endpoint is; from its home to the entry now and then, as a sign of life.
+    Load {
+        /// Requests in flight and waiting there.
+        requests: u32,
+    },
 }
 
 /// What a finished piece of work came to.
@@ -125,6 +163,8 @@
         endpoint: EndpointKey,
         /// The work.
         work: Box<Work>,
+        /// Whether an instance passed it on already, because it is not the home any more.
+        forwarded: bool,
     },
 }
 
--- /dev/null
+++ b/flamingoscale/src/dispatch/run.rs
@@ -0,0 +1,345 @@
+//! The home's side: a place in the queue, then one try at the endpoint.
+
+use std::{
+    future::Future,
+    sync::Arc,
+    time::Duration, //
+};
+
+use tokio::time::{
+    Instant,
+    MissedTickBehavior, //
+};
+
+use crate::{
+    dispatch::{
+        entry::pass_from_peer,
+        Class,
+        Dispatcher,
+        Message,
+        Summary,
+        Work,
+        WorkBody,
+        WorkEvent,
+        WorkSender,
+        WorkStream, //
+    },
+    engine::run::{
+        completion,
+        Target,
+        TryEnd, //
+    },
+    home::table::{
+        Offer,
+        Use,
+        VersionReading, //
+    },
+    outcome::{
+        NotRun,
+        Outcome,
+        Refusal, //
+    },
+    peer::PeerRequest,
+    routing::fair::Flow,
+    service::{
+        self,
+        Call, //
+    },
+    view::{
+        EndpointKey,
+        View, //
+    },
+    wire::{
+        CompletionRequest,
+        VersionSpan, //
+    }, //
+};
+
+/// Time between two signs of life towards the entry.
+const SIGN_OF_LIFE: Duration = Duration::from_millis(1_000);
+
+/// Priority of interactive requests at engines; lower runs first.
+const INTERACTIVE_PRIORITY: u8 = 0;
+
+/// Priority of rollouts at engines.
+const ROLLOUT_PRIORITY: u8 = 4;
+
+/// Characters of a prompt to a token, for estimates.
+const CHARS_PER_TOKEN: u64 = 4;
+
+/// A prompt token's cost as a part of a generated one's.
+const PROMPT_TOKENS_PER_TOKEN: u64 = 8;
+
+/// What a plain call is expected to cost, in tokens.
+const PLAIN_CALL_TOKENS: u64 = 16;
+
+/// When to try again after the home of an endpoint moved.
+const MOVED_RETRY_MS: u64 = 100;
+
+impl Dispatcher {
+    /// Runs work on an endpoint at home; passes it on once where the home is elsewhere now.
+    pub(crate) async fn run_as_home(
+        &self,
+        key: EndpointKey,
+        work: Work,
+        forwarded: bool,
+        events: &WorkSender,
+    ) {
+        let routes = self.routes();
+        let moved = match routes.endpoint(key) {
+            Some(endpoint) => {
+                (endpoint.home.instance != *self.instance.id()).then(|| endpoint.home.clone())
+            }
+            None => {
+                let gone = Refusal::Unreachable("the endpoint is gone or leaving".into());
+                return refuse(events, NotRun::retry_after(gone, MOVED_RETRY_MS)).await;
+            }
+        };
+        match (moved, self.instance.peers()) {
+            (None, _) => self.run_here(key, work, events).await,
+            (Some(home), Some(peers)) if !forwarded => {
+                let message = Message::Run {
+                    endpoint: key,
+                    work: Box::new(work),
+                    forwarded: true,
+                };
+                let request = PeerRequest::Dispatch(message);
+                let replies = peers.open(&home.instance, &home.peer_address, request);
+                let (passed, mut stream) = WorkStream::channel();
+                tokio::join!(pass_from_peer(replies, passed, None), async {
+                    while let Some(event) = stream.next().await {
+                        if events.send(event).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+            _ => {
+                let moved = Refusal::Unreachable("the endpoint's home is moving".into());
+                refuse(events, NotRun::retry_after(moved, MOVED_RETRY_MS)).await;
+            }
+        }
+    }
+
+    async fn run_here(&self, key: EndpointKey, work: Work, events: &WorkSender) {
+        let deadline = Instant::now() + Duration::from_millis(work.budget_ms);
+        let run = self.queue_and_run(key, &work, events, deadline);
+        let end = self.with_signs_of_life(key, events, run).await;
+        let Some(end) = end else {
+            return;
+        };
+        self.record_end(key, &work, &end.outcome);
+        let requests = self.desk.requests(key);
+        let _ = events.send(WorkEvent::Load { requests }).await;
+        let _ = events.send(WorkEvent::Done(end.outcome)).await;
+    }
+
+    /// Runs `run` while telling the entry now and then that this home is alive, and how busy.
+    async fn with_signs_of_life<T>(
+        &self,
+        key: EndpointKey,
+        events: &WorkSender,
+        run: impl Future<Output = Option<T>>,
+    ) -> Option<T> {
+        let mut run = std::pin::pin!(run);
+        let first = Instant::now() + SIGN_OF_LIFE;
+        let mut ticks = tokio::time::interval_at(first, SIGN_OF_LIFE);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                end = &mut run => return end,
+                _ = ticks.tick() => {
+                    let requests = self.desk.requests(key);
+                    // A full channel is a sign of life in itself.
+                    let _ = events.try_send(WorkEvent::Load { requests });
+                }
+            }
+        }
+    }
+
+    /// Waits for a place and runs; nothing comes back where the caller left the queue.
+    async fn queue_and_run(
+        &self,
+        key: EndpointKey,
+        work: &Work,
+        events: &WorkSender,
+        deadline: Instant,
+    ) -> Option<TryEnd> {
+        let offer = self.offer(work);
+        let entered = tokio::select! {
+            entered = self.desk.enter(key, offer) => entered,
+            () = events.closed() => return None,
+            () = tokio::time::sleep_until(deadline) => {
+                Err(NotRun::for_good(Refusal::Deadline))
+            }
+        };
+        let mut place = match entered {
+            Ok(place) => place,
+            Err(not_run) => return Some(TryEnd::not_run(not_run)),
+        };
+        let target = self.desk.target(key).map(|target| Target {
+            key,
+            id: target.id,
+            address: target.address,
+        });
+        let Some(target) = target else {
+            let gone = Refusal::Unreachable("the endpoint is gone".into());
+            return Some(TryEnd::not_run(NotRun::retry_after(gone, MOVED_RETRY_MS)));
+        };
+        let started = Instant::now();
+        let _ = events.send(WorkEvent::Started { endpoint: key }).await;
+        let line = &self.instance.timeline;
+        line.record("home.start", &work.request_id, &[("endpoint", &target.id)]);
+        let end = self.run_at(&target, work, events, deadline).await;
+        if end.broke {
+            place.broke();
+        }
+        if let Outcome::Ran(summary) = &end.outcome {
+            place.used(Use {
+                tokens: used_tokens(work, summary),
+                ran_ms: started.elapsed().as_millis() as u64,
+            });
+        }
+        Some(end)
+    }
+
+    async fn run_at(
+        &self,
+        target: &Target,
+        work: &Work,
+        events: &WorkSender,
+        deadline: Instant,
+    ) -> TryEnd {
+        match &work.body {
+            WorkBody::Completion(request) => {
+                let mut request = request.clone();
+                request.priority = priority(&work.class);
+                self.run_completion(target, work, &request, events, deadline)
+                    .await
+            }
+            WorkBody::Plain {
+                method,
+                path,
+                headers,
+                body,
+            } => {
+                let call = Call {
+                    method,
+                    path,
+                    headers,
+                    body,
+                };
+                service::call(target, work, &call, events, deadline).await
+            }
+        }
+    }
+
+    async fn run_completion(
+        &self,
+        target: &Target,
+        work: &Work,
+        request: &CompletionRequest,
+        events: &WorkSender,
+        deadline: Instant,
+    ) -> TryEnd {
+        let before = self.desk.reading(target.key);
+        let mut end = completion(target, work, request, events, deadline).await;
+        if let Outcome::Ran(summary) = &mut end.outcome {
+            if summary.versions.is_empty() && summary.tokens > 0 {
+                summary.versions = self.versions_read(target, before, summary.tokens).await;
+            }
+        }
+        end
+    }
+
+    /// The versions of a completion whose engine told none: known only where the readings before
+    /// and after agree.
+    async fn versions_read(
+        &self,
+        target: &Target,
+        before: Option<VersionReading>,
+        tokens: u32,
+    ) -> Vec<VersionSpan> {
+        self.read_status(target.key, &target.address).await;
+        match (before, self.desk.reading(target.key)) {
+            (Some(before), Some(after)) if before == after => vec![VersionSpan {
+                version: before.version,
+                tokens,
+            }],
+            _ => Vec::new(),
+        }
+    }
+
+    fn offer(&self, work: &Work) -> Offer {
+        let weight = weight_of(&self.instance.view.load(), work);
+        Offer {
+            ticket: self.desk.new_ticket(),
+            flow: Flow::new(&work.class, &work.organisation, weight),
+            cost_tokens: expected_tokens(work),
+            deadline_ms: self.instance.now_ms() + work.budget_ms,
+            oldest_version: work.oldest_version,
+            alone: work.alone,
+            fingerprint: work.fingerprint(),
+        }
+    }
+
+    fn record_end(&self, key: EndpointKey, work: &Work, outcome: &Outcome<Summary>) {
+        let word = outcome.word();
+        let reason: Arc<str> = match outcome {
+            Outcome::Ran(_) => "".into(),
+            Outcome::NotRun(not_run) => format!("{:?}", not_run.refusal).into(),
+            Outcome::Unknown(reason) => reason.clone(),
+        };
+        let fields: [(&str, &dyn std::fmt::Display); 3] =
+            [("endpoint", &key.0), ("outcome", &word), ("reason", &reason)];
+        let line = &self.instance.timeline;
+        line.record("home.end", &work.request_id, &fields);
+    }
+}
+
+async fn refuse(events: &WorkSender, not_run: NotRun) {
+    let done = WorkEvent::Done(Outcome::NotRun(not_run));
+    let _ = events.send(done).await;
+}
+
+fn priority(class: &Class) -> u8 {
+    match class {
+        Class::Interactive => INTERACTIVE_PRIORITY,
+        Class::Rollout { .. } => ROLLOUT_PRIORITY,
+    }
+}
+
+fn weight_of(view: &View, work: &Work) -> u32 {
+    let configuration = &view.configuration;
+    let weight = match &work.class {
+        Class::Interactive => configuration
+            .organisation(&work.organisation)
+            .map(|organisation| organisation.weight),
+        Class::Rollout { trainer } => configuration
+            .trainer(trainer)
+            .map(|trainer| trainer.weight),
+    };
+    weight.unwrap_or(1)
+}
+
+/// The tokens that a piece of work is expected to use.
+pub(crate) fn expected_tokens(work: &Work) -> u64 {
+    match &work.body {
+        WorkBody::Completion(request) => {
+            prompt_cost(request) + u64::from(request.max_tokens)
+        }
+        WorkBody::Plain { .. } => PLAIN_CALL_TOKENS,
+    }
+}
+
+/// The tokens that a finished piece of work used.
+pub(crate) fn used_tokens(work: &Work, summary: &Summary) -> u64 {
+    match &work.body {
+        WorkBody::Completion(request) => prompt_cost(request) + u64::from(summary.tokens),
+        WorkBody::Plain { .. } => PLAIN_CALL_TOKENS,
+    }
+}
+
+fn prompt_cost(request: &CompletionRequest) -> u64 {
+    request.prompt.len() as u64 / CHARS_PER_TOKEN / PROMPT_TOKENS_PER_TOKEN
+}
--- a/flamingoscale/src/engine/run.rs
+++ b/flamingoscale/src/engine/run.rs
@@ -9,12 +9,7 @@
     http::StatusCode,
     ClientResponse, //
 };
-use bytes::Bytes;
-use futures::{
-    Stream,
-    StreamExt as _, //
-};
-use serde::Deserialize;
+use futures::StreamExt as _;
 use tokio::time::{
     timeout,
     Instant, //
@@ -48,11 +43,8 @@
     }, //
 };
 
-/// Longest wait for the head of an answer on a connection that was used before.
-const POOLED_HEAD_TIMEOUT: Duration = Duration::from_millis(2_000);
-
-/// Longest wait for the head of an answer on a new connection.
-const FRESH_HEAD_TIMEOUT: Duration = Duration::from_millis(10_000);
+/// Longest wait for the head of an answer.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(5_000);
 
 /// Longest silence within an answer.
 const BETWEEN_BYTES: Duration = Duration::from_millis(8_000);
@@ -99,13 +91,6 @@
     }
 }
 
-/// One event of an engine: a chunk, or word that it failed.
-#[derive(Deserialize)]
-struct EngineEvent {
-    #[serde(default)]
-    error: Option<serde_json::Value>,
-}
-
 /// Runs a completion until its end, the deadline, or until nobody listens any more.
 pub(crate) async fn completion(
     target: &Target,
@@ -147,33 +132,156 @@
 ) -> Result<ClientResponse, TryEnd> {
     let mut body = request.clone();
     body.stream = true;
-    let mut client = client::pooled(&target.address);
-    let mut limit = POOLED_HEAD_TIMEOUT;
-    loop {
-        let url = format!("http://{}/v1/completions", target.address);
-        let sent = client
-            .post(url)
-            .insert_header((REQUEST_ID_HEADER, &*work.request_id))
-            .insert_header((ORGANISATION_HEADER, &*work.organisation))
-            .send_json(&body);
-        let left = deadline.saturating_duration_since(Instant::now());
-        match timeout(limit.min(left), sent).await {
-            Ok(Ok(response)) => return Ok(response.into_stream_type()),
-            Ok(Err(error)) => {
-                let outcome = client::failed_send(&error);
-                let broke = matches!(outcome, Outcome::Unknown(_));
-                return Err(TryEnd { outcome, broke });
+    let url = format!("http://{}/v1/completions", target.address);
+    let sent = client::pooled(&target.address)
+        .post(url)
+        .insert_header((REQUEST_ID_HEADER, &*work.request_id))
+        .insert_header((ORGANISATION_HEADER, &*work.organisation))
+        .send_json(&body);
+    let left = deadline.saturating_duration_since(Instant::now());
+    match timeout(HEAD_TIMEOUT.min(left), sent).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) => {
+            let outcome = client::failed_send(&error);
+            let broke = matches!(outcome, Outcome::Unknown(_));
+            Err(TryEnd { outcome, broke })
+        }
+        Err(_) => {
+            // The connection may have gone silent, and others to the same address with it.
+            client::forget(&target.address);
+            stop(target, work);
+            Err(TryEnd::unknown("the engine gave no answer"))
+        }
+    }
+}
+
+/// Only an answer of the right endpoint with the right status is read on.
+fn check_head(target: &Target, response: &ClientResponse) -> Result<(), TryEnd> {
+    let named = response.headers().get(ENDPOINT_HEADER);
+    if named.is_none_or(|name| name.as_bytes() != target.id.as_bytes()) {
+        return Err(TryEnd::unknown("another endpoint answered at this address"));
+    }
+    match response.status() {
+        StatusCode::OK => Ok(()),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let full = NotRun::retry_after(Refusal::Overloaded, FULL_RETRY_MS);
+            Err(TryEnd::not_run(full))
+        }
+        StatusCode::BAD_REQUEST | StatusCode::UNPROCESSABLE_ENTITY => {
+            let invalid = Refusal::Invalid("the engine refused the request".into());
+            Err(TryEnd::not_run(NotRun::for_good(invalid)))
+        }
+        status => {
+            let reason = format!("the engine answered with status {status}");
+            Err(TryEnd::unknown(reason))
+        }
+    }
+}
+
+/// Reads one event stream and passes its chunks on.
+struct Reader<'a> {
+    target: &'a Target,
+    work: &'a Work,
+    events: &'a WorkSender,
+    parser: EventParser,
+    summary: Summary,
+    versions_told: bool,
+    finished: bool,
+}
+
+impl<'a> Reader<'a> {
+    fn new(target: &'a Target, work: &'a Work, events: &'a WorkSender) -> Self {
+        Self {
+            target,
+            work,
+            events,
+            parser: EventParser::default(),
+            summary: Summary {
+                endpoint: target.key,
+                ..Summary::default()
+            },
+            versions_told: true,
+            finished: false,
+        }
+    }
+
+    async fn read(&mut self, mut response: ClientResponse) -> TryEnd {
+        loop {
+            let bytes = match timeout(BETWEEN_BYTES, response.next()).await {
+                Ok(Some(Ok(bytes))) => bytes,
+                Ok(Some(Err(error))) => return TryEnd::broke(error.to_string()),
+                Ok(None) => return TryEnd::broke("the engine's answer ended early"),
+                Err(_) => {
+                    client::forget(&self.target.address);
+                    return TryEnd::unknown("the engine's answer fell silent");
+                }
+            };
+            self.parser.push(&bytes);
+            loop {
+                match self.parser.next() {
+                    Ok(Some(data)) => {
+                        if let Some(end) = self.event(&data).await {
+                            return end;
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(_) => return TryEnd::unknown("the engine sent an endless event"),
+                }
             }
-            Err(_) => {}
         }
-        client::forget(&target.address);
-        stop(target, work);
-        let last = limit == FRESH_HEAD_TIMEOUT || left <= limit;
-        if last || !work.idempotent {
-            return Err(TryEnd::unknown("the engine gave no answer"));
+    }
+
+    /// Takes in one event; returns the end of the try if this was its last.
+    async fn event(&mut self, data: &str) -> Option<TryEnd> {
+        if data == "[DONE]" {
+            return Some(self.done());
+        }
+        let chunk = match serde_json::from_str::<CompletionChunk>(data) {
+            Ok(chunk) => chunk,
+            Err(_) => return Some(TryEnd::unknown("the engine sent an error or garbage")),
+        };
+        if chunk.id != self.work.request_id {
+            return Some(TryEnd::unknown("the engine sent another request's answer"));
+        }
+        self.add(&chunk);
+        if self.events.send(WorkEvent::Chunk(chunk)).await.is_err() {
+            return Some(TryEnd::unknown("the caller is gone"));
+        }
+        None
+    }
+
+    fn add(&mut self, chunk: &CompletionChunk) {
+        self.summary.tokens += chunk.tokens;
+        if let Some(reason) = &chunk.finish_reason {
+            self.summary.finish_reason = reason.clone();
+            self.finished = true;
         }
-        // The connection may have gone silent: a new one shows whether the engine is there.
-        client = client::fresh();
-        limit = FRESH_HEAD_TIMEOUT;
+        match chunk.version {
+            _ if chunk.tokens == 0 => {}
+            Some(version) => add_span(&mut self.summary.versions, version, chunk.tokens),
+            None => self.versions_told = false,
+        }
+    }
+
+    fn done(&mut self) -> TryEnd {
+        if !self.finished || &*self.summary.finish_reason == "cancelled" {
+            return TryEnd::unknown("the engine stopped before the end");
+        }
+        let mut summary = std::mem::take(&mut self.summary);
+        if !self.versions_told {
+            summary.versions.clear();
+        }
+        TryEnd {
+            outcome: Outcome::Ran(summary),
+            broke: false,
+        }
+    }
+}
+
+/// Adds tokens of a version to the end of a list of spans.
+pub(crate) fn add_span(spans: &mut Vec<VersionSpan>, version: u64, tokens: u32) {
+    match spans.last_mut() {
+        Some(last) if last.version == version => last.tokens += tokens,
+        _ => spans.push(VersionSpan { version, tokens }),
     }
 }
--- a/flamingoscale/src/home/desk.rs
+++ b/flamingoscale/src/home/desk.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    future::Future,
     sync::{
         atomic::{
             AtomicU64,
@@ -29,7 +30,10 @@
         HomeFacts, //
     },
     instance::Instance,
-    outcome::NotRun,
+    outcome::{
+        NotRun,
+        Refusal, //
+    },
     view::EndpointKey,
     wire::EndpointStatus, //
 };
@@ -76,7 +80,7 @@
         endpoint: EndpointKey,
         offer: Offer,
     ) -> Result<Place, NotRun> {
-        let mut place = Place {
+        let place = Place {
             desk: self.clone(),
             endpoint,
             ticket: offer.ticket,
@@ -98,10 +102,7 @@
             Verdict::Wait => match receiver.await {
                 Ok(Ok(())) => Ok(place),
                 Ok(Err(not_run)) => Err(not_run),
-                Err(_) => {
-                    place.used = None;
-                    Err(NotRun::for_good(crate::outcome::Refusal::ShuttingDown))
-                }
+                Err(_) => Err(NotRun::for_good(Refusal::ShuttingDown)),
             },
         }
     }
@@ -139,9 +140,16 @@
         self.with(|inner| ((), inner.table.hold(endpoint, held, now_ms)));
     }
 
-    pub(crate) fn status(&self, endpoint: EndpointKey, status: Option<EndpointStatus>) {
+    /// Reads an endpoint's status by `read` and takes it in.
+    pub(crate) async fn refresh(
+        &self,
+        endpoint: EndpointKey,
+        read: impl Future<Output = Option<EndpointStatus>>,
+    ) {
+        let asked = self.with(|inner| (inner.table.epoch(endpoint), Vec::new()));
+        let status = read.await;
         let now_ms = self.instance.now_ms();
-        self.with(|inner| ((), inner.table.status(endpoint, status, now_ms)));
+        self.with(|inner| ((), inner.table.status(endpoint, asked, status, now_ms)));
     }
 
     /// Decides under the lock, then carries the actions out without it.
--- a/flamingoscale/src/home/table.rs
+++ b/flamingoscale/src/home/table.rs
@@ -253,10 +253,16 @@
         })
     }
 
-    /// Takes in a status read, or that it failed.
+    /// The epoch to hand back with a status that is read from now on.
+    pub fn epoch(&self, endpoint: EndpointKey) -> u64 {
+        self.slots.get(&endpoint).map_or(0, |slot| slot.epoch)
+    }
+
+    /// Takes in a status read that began in epoch `asked`, or that it failed.
     pub fn status(
         &mut self,
         endpoint: EndpointKey,
+        asked: u64,
         status: Option<EndpointStatus>,
         now_ms: u64,
     ) -> Vec<Action> {
@@ -265,7 +271,7 @@
             return actions;
         };
         match status {
-            Some(status) => slot.take_status(status, &mut actions),
+            Some(status) => slot.take_status(asked, status, &mut actions),
             None => slot.miss_status(&mut actions),
         }
         slot.settle_waiting(&mut actions);
@@ -459,8 +465,9 @@
         self.queue.pop(interactive_only).map(|(ticket, _)| ticket)
     }
 
-    fn take_status(&mut self, status: EndpointStatus, actions: &mut Vec<Action>) {
+    fn take_status(&mut self, asked: u64, status: EndpointStatus, actions: &mut Vec<Action>) {
         self.failed_reads = 0;
+        let epoch = self.epoch;
         let before = self.status.as_ref();
         let restarted = before.is_some_and(|before| before.boot != status.boot);
         let changed = before.is_some_and(|before| before.version != status.version);
@@ -471,7 +478,8 @@
             self.crashed(actions);
         }
         self.broken.clear();
-        self.version_known = true;
+        // A read that began before a hold ended may still show the weights from before.
+        self.version_known |= asked == epoch;
         self.status = Some(status);
     }
 
@@ -536,7 +544,7 @@
     fn table(slots: u32) -> HomeTable {
         let mut table = HomeTable::default();
         table.sync(vec![target(slots)]);
-        table.status(KEY, Some(status(7, 1)), 0);
+        read(&mut table, Some(status(7, 1)), 0);
         table
     }
 
@@ -559,6 +567,11 @@
         }
     }
 
+    fn read(table: &mut HomeTable, status: Option<EndpointStatus>, now_ms: u64) -> Vec<Action> {
+        let asked = table.epoch(KEY);
+        table.status(KEY, asked, status, now_ms)
+    }
+
     fn offer(ticket: u64) -> Offer {
         Offer {
             ticket: Ticket(ticket),
@@ -594,7 +607,7 @@
             leaving_in_ms: Some(20_000),
             ..status(7, 1)
         };
-        let actions = table.status(KEY, Some(leaving), 10);
+        let actions = read(&mut table, Some(leaving), 10);
         assert!(matches!(actions[..], [Action::Refuse(Ticket(2), _)]));
         assert!(matches!(table.offer(KEY, offer(3), 20), Verdict::Refuse(_)));
         assert_eq!(table.facts(KEY).map(|facts| facts.in_flight), Some(1));
@@ -606,7 +619,7 @@
         table.hold(KEY, true, 0);
         assert_eq!(table.offer(KEY, offer(1), 0), Verdict::Wait);
         assert_eq!(table.facts(KEY).and_then(|facts| facts.version), None);
-        assert_eq!(table.status(KEY, Some(status(8, 1)), 5), []);
+        assert_eq!(read(&mut table, Some(status(8, 1)), 5), []);
         let actions = table.hold(KEY, false, 10);
         assert_eq!(actions, [Action::Start(Ticket(1))]);
     }
@@ -618,7 +631,7 @@
         table.hold(KEY, true, 0);
         table.hold(KEY, false, 5);
         assert_eq!(table.reading(KEY), None);
-        table.status(KEY, Some(status(7, 1)), 10);
+        read(&mut table, Some(status(7, 1)), 10);
         assert_ne!(table.reading(KEY), Some(before));
     }
 
@@ -628,7 +641,7 @@
         let mut young = offer(1);
         young.oldest_version = 8;
         assert!(matches!(table.offer(KEY, young.clone(), 0), Verdict::Refuse(_)));
-        table.status(KEY, Some(status(8, 1)), 5);
+        read(&mut table, Some(status(8, 1)), 5);
         assert_eq!(table.offer(KEY, young, 10), Verdict::Run);
     }
 
@@ -664,7 +677,7 @@
     fn a_new_boot_names_what_was_in_flight() {
         let mut table = table(4);
         table.offer(KEY, offer(1), 0);
-        let actions = table.status(KEY, Some(status(7, 2)), 5);
+        let actions = read(&mut table, Some(status(7, 2)), 5);
         let crashed = Action::Crashed {
             endpoint: KEY,
             fingerprints: vec![1],
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod record;
 pub mod rollout;
 pub mod routing;
+pub mod service;
 pub mod settings;
 pub mod state;
 pub mod timeline;
--- a/flamingoscale/src/routing.rs
+++ b/flamingoscale/src/routing.rs
@@ -6,4 +6,5 @@
 pub mod fair;
 pub mod load;
 pub mod rendezvous;
+pub mod retry;
 pub mod table;
--- a/flamingoscale/src/routing/table.rs
+++ b/flamingoscale/src/routing/table.rs
@@ -55,6 +55,8 @@
     pub home: Arc<Member>,
     /// Its load as seen from here.
     pub load: Arc<EndpointLoad>,
+    /// Closed while its home can't be reached.
+    pub home_load: Arc<EndpointLoad>,
 }
 
 /// The endpoints of one service.
@@ -70,6 +72,7 @@
 pub struct RouteTable {
     services: HashMap<Arc<str>, ServiceRoutes>,
     by_key: HashMap<EndpointKey, (Arc<str>, u32)>,
+    homes: HashMap<Arc<str>, Arc<EndpointLoad>>,
     endpoints: Arc<EndpointTable>,
     members: Arc<Vec<Member>>,
     configuration: Arc<Configuration>,
@@ -103,6 +106,7 @@
                     id: platform.endpoint.clone(),
                     address: platform.address.clone(),
                     slots: if slots == 0 { DEFAULT_SLOTS } else { slots },
+                    home_load: table.home_load(&home.instance, before),
                     home,
                     load: before.load(endpoint.key),
                 });
@@ -144,6 +148,13 @@
         })
     }
 
+    fn home_load(&mut self, instance: &Arc<str>, before: &RouteTable) -> Arc<EndpointLoad> {
+        let entry = self.homes.entry(instance.clone());
+        entry
+            .or_insert_with(|| before.homes.get(instance).cloned().unwrap_or_default())
+            .clone()
+    }
+
     fn load(&self, key: EndpointKey) -> Arc<EndpointLoad> {
         self.endpoint(key)
             .map(|endpoint| endpoint.load.clone())
@@ -203,8 +214,9 @@
         for step in 0..self.ring.len() {
             let (_, index) = self.ring[(start + step) % self.ring.len()];
             let endpoint = &self.endpoints[index as usize];
-            let usable = endpoint.load.is_open(now_ms) && !avoid.contains(&endpoint.key);
-            if !usable || seen[..count].contains(&index) {
+            let open = endpoint.load.is_open(now_ms) && endpoint.home_load.is_open(now_ms);
+            if !open || avoid.contains(&endpoint.key) || seen[..count].contains(&index)
+            {
                 continue;
             }
             let estimate = endpoint.load.estimate(now_ms);
