--- a/flamingoscale/src/dispatch/entry.rs
+++ b/flamingoscale/src/dispatch/entry.rs
@@ -215,7 +215,8 @@
     fn record_retry(&self, work: &Work, outcome: &Outcome<Summary>, wait_ms: u64) {
         let after = outcome.word();
         self.instance.metrics.count("dispatch.retries");
-        let fields: [(&str, &dyn std::fmt::Display); 2] = [("after", &after), ("wait_ms", &wait_ms)];
+        let fields: [(&str, &dyn std::fmt::Display); 2] =
+            [("after", &after), ("wait_ms", &wait_ms)];
         let line = &self.instance.timeline;
         line.record("dispatch.retry", &work.request_id, &fields);
     }
@@ -230,7 +231,10 @@
             // Where all were tried, they may be tried again.
             work.avoid.clear();
             let none = Refusal::Unreachable("no endpoint of the service can be reached".into());
-            return Ok(Outcome::NotRun(NotRun::retry_after(none, NO_ENDPOINT_RETRY_MS)));
+            return Ok(Outcome::NotRun(NotRun::retry_after(
+                none,
+                NO_ENDPOINT_RETRY_MS,
+            )));
         };
         endpoint.load.begin();
         let _counted = Counted(&endpoint);
--- a/flamingoscale/src/dispatch/run.rs
+++ b/flamingoscale/src/dispatch/run.rs
@@ -297,8 +297,11 @@
             Outcome::NotRun(not_run) => format!("{:?}", not_run.refusal).into(),
             Outcome::Unknown(reason) => reason.clone(),
         };
-        let fields: [(&str, &dyn std::fmt::Display); 3] =
-            [("endpoint", &key.0), ("outcome", &word), ("reason", &reason)];
+        let fields: [(&str, &dyn std::fmt::Display); 3] = [
+            ("endpoint", &key.0),
+            ("outcome", &word),
+            ("reason", &reason),
+        ];
         let line = &self.instance.timeline;
         line.record("home.end", &work.request_id, &fields);
     }
@@ -322,9 +325,7 @@
         Class::Interactive => configuration
             .organisation(&work.organisation)
             .map(|organisation| organisation.weight),
-        Class::Rollout { trainer } => configuration
-            .trainer(trainer)
-            .map(|trainer| trainer.weight),
+        Class::Rollout { trainer } => configuration.trainer(trainer).map(|trainer| trainer.weight),
     };
     weight.unwrap_or(1)
 }
@@ -332,9 +333,7 @@
 /// The tokens that a piece of work is expected to use.
 pub(crate) fn expected_tokens(body: &WorkBody) -> u64 {
     match body {
-        WorkBody::Completion(request) => {
-            prompt_cost(request) + u64::from(request.max_tokens)
-        }
+        WorkBody::Completion(request) => prompt_cost(request) + u64::from(request.max_tokens),
         WorkBody::Plain { .. } => PLAIN_CALL_TOKENS,
     }
 }
--- a/flamingoscale/src/engine/client.rs
+++ b/flamingoscale/src/engine/client.rs
@@ -11,7 +11,10 @@
 };
 
 use awc::{
-    error::SendRequestError,
+    error::{
+        ConnectError,
+        SendRequestError, //
+    },
     Client,
     Connector, //
 };
@@ -72,9 +75,13 @@
 }
 
 /// What a failed send says of the request: only a connection that was never made proves that
-/// nothing ran.
+/// nothing ran. `Disconnected` is no such proof, though it counts as an error of connecting: the
+/// client also gives it when the other end closes after the request was sent.
 pub(crate) fn failed_send<T>(error: &SendRequestError) -> Outcome<T> {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            Outcome::Unknown("the endpoint closed the connection".into())
+        }
         SendRequestError::Connect(_) | SendRequestError::Url(_) => {
             let refusal = Refusal::Unreachable(error.to_string().into());
             Outcome::NotRun(NotRun::retry_after(refusal, UNREACHABLE_RETRY_MS))
--- a/flamingoscale/src/engine/events.rs
+++ b/flamingoscale/src/engine/events.rs
@@ -67,7 +67,8 @@
 
     #[test]
     fn pieces_make_the_same_events_wherever_they_are_cut() {
-        let stream = b": note\n\ndata: one\n\ndata: two\r\ndata:three\r\n\r\nevent: x\ndata: [DONE]\n\n";
+        let stream =
+            b": note\n\ndata: one\n\ndata: two\r\ndata:three\r\n\r\nevent: x\ndata: [DONE]\n\n";
         for cut in 0..stream.len() {
             let mut parser = EventParser::default();
             let mut events = Vec::new();
--- a/flamingoscale/src/gateway/dispatch.rs
+++ b/flamingoscale/src/gateway/dispatch.rs
@@ -37,8 +37,8 @@
             Filter,
             Next, //
         },
-        stream, //
-        Shared,
+        stream,
+        Shared, //
     },
     instance::Instance,
     outcome::{
--- a/flamingoscale/src/gateway/http.rs
+++ b/flamingoscale/src/gateway/http.rs
@@ -244,7 +244,9 @@
     };
     match value.to_str() {
         Ok(key) if !key.is_empty() && key.len() <= LONGEST_KEY_CHARS => Ok(Some(key.into())),
-        _ => Err(invalid("write an idempotency key of 1 to 255 ASCII characters")),
+        _ => Err(invalid(
+            "write an idempotency key of 1 to 255 ASCII characters",
+        )),
     }
 }
 
@@ -289,7 +291,12 @@
         service: if known { service.into() } else { "".into() },
         outcome: outcome.into(),
     };
-    gateway.instance.metrics.requests.get_or_create(&labels).inc();
+    gateway
+        .instance
+        .metrics
+        .requests
+        .get_or_create(&labels)
+        .inc();
 }
 
 fn refused(gateway: &Gateway, service: &str, request_id: &str, not_run: &NotRun) -> HttpResponse {
@@ -305,12 +312,7 @@
     response.json(error_body(kind, &message))
 }
 
-fn broken_off(
-    gateway: &Gateway,
-    service: &str,
-    request_id: &str,
-    broken: &Broken,
-) -> HttpResponse {
+fn broken_off(gateway: &Gateway, service: &str, request_id: &str, broken: &Broken) -> HttpResponse {
     count(gateway, service, "unknown");
     let (status, kind) = match broken.cause {
         Cause::BrokeOff => (502, "broke_off"),
--- a/flamingoscale/src/gateway/idempotency.rs
+++ b/flamingoscale/src/gateway/idempotency.rs
@@ -126,15 +126,17 @@
             body: kept.body,
             tokens: None,
         }),
-        Progress::Finished(None) => {
-            Answer::broken(Cause::Earlier, "the first request ran; its answer is not kept")
-        }
+        Progress::Finished(None) => Answer::broken(
+            Cause::Earlier,
+            "the first request ran; its answer is not kept",
+        ),
         Progress::Started => {
             Answer::broken(Cause::Earlier, "the first request with this key is running")
         }
-        Progress::Unknown => {
-            Answer::broken(Cause::Earlier, "the first request with this key may have run")
-        }
+        Progress::Unknown => Answer::broken(
+            Cause::Earlier,
+            "the first request with this key may have run",
+        ),
     }
 }
 
--- a/flamingoscale/src/gateway/key.rs
+++ b/flamingoscale/src/gateway/key.rs
@@ -46,7 +46,10 @@
         if let Some(shown) = &shown {
             remove_key(&mut exchange.body, shown)?;
         }
-        let open = exchange.service.as_ref().is_some_and(|service| service.open);
+        let open = exchange
+            .service
+            .as_ref()
+            .is_some_and(|service| service.open);
         if open {
             return Ok(());
         }
--- a/flamingoscale/src/gateway/stream.rs
+++ b/flamingoscale/src/gateway/stream.rs
@@ -260,9 +260,11 @@
 
     /// Ends server-sent events by one that says why; other answers by closing the connection.
     async fn fail(&self, end: End, kind: &str, message: &str) {
-        let bytes = self
-            .server_sent
-            .then(|| event(&ErrorEvent { error: error_body(kind, message) }));
+        let bytes = self.server_sent.then(|| {
+            event(&ErrorEvent {
+                error: error_body(kind, message),
+            })
+        });
         let _ = self.send(Piece::End { bytes, end }).await;
     }
 }
--- a/flamingoscale/src/home/table.rs
+++ b/flamingoscale/src/home/table.rs
@@ -389,7 +389,8 @@
         if offer.alone {
             self.waiting_alone.push_back(offer.ticket);
         } else {
-            self.queue.push(&offer.flow, offer.ticket, offer.cost_tokens);
+            self.queue
+                .push(&offer.flow, offer.ticket, offer.cost_tokens);
         }
         self.waiting.insert(offer.ticket, offer);
         Verdict::Wait
@@ -640,7 +641,10 @@
         let mut table = table(1);
         let mut young = offer(1);
         young.oldest_version = 8;
-        assert!(matches!(table.offer(KEY, young.clone(), 0), Verdict::Refuse(_)));
+        assert!(matches!(
+            table.offer(KEY, young.clone(), 0),
+            Verdict::Refuse(_)
+        ));
         read(&mut table, Some(status(8, 1)), 5);
         assert_eq!(table.offer(KEY, young, 10), Verdict::Run);
     }
--- a/flamingoscale/src/routing/retry.rs
+++ b/flamingoscale/src/routing/retry.rs
@@ -166,8 +166,7 @@
         let outcome: Outcome<()> = Outcome::NotRun(NotRun::retry_after(away, 0));
         for left_ms in 0..200 {
             let mut retries = Retries::default();
-            while let Next::Again { wait_ms } =
-                retries.after(&outcome, false, left_ms, &mut random)
+            while let Next::Again { wait_ms } = retries.after(&outcome, false, left_ms, &mut random)
             {
                 assert!(wait_ms < left_ms);
             }
--- a/flamingoscale/src/routing/table.rs
+++ b/flamingoscale/src/routing/table.rs
@@ -126,12 +126,15 @@
         &'a self,
         instance: &'a str,
     ) -> impl Iterator<Item = (&'a Arc<str>, &'a RouteEndpoint)> {
-        self.routes.services.iter().flat_map(move |(service, routes)| {
-            let endpoints = routes.endpoints.iter();
-            endpoints
-                .filter(move |endpoint| &*endpoint.home.instance == instance)
-                .map(move |endpoint| (service, endpoint))
-        })
+        self.routes
+            .services
+            .iter()
+            .flat_map(move |(service, routes)| {
+                let endpoints = routes.endpoints.iter();
+                endpoints
+                    .filter(move |endpoint| &*endpoint.home.instance == instance)
+                    .map(move |endpoint| (service, endpoint))
+            })
     }
 }
 
@@ -143,7 +146,9 @@
             let slots = view.configuration.service(service).map_or(0, |s| s.slots);
             let slots = if slots == 0 { DEFAULT_SLOTS } else { slots };
             let mut routes = ServiceRoutes::default();
-            let endpoints = keys.iter().filter_map(|key| view.endpoints.endpoints.get(key));
+            let endpoints = keys
+                .iter()
+                .filter_map(|key| view.endpoints.endpoints.get(key));
             for endpoint in endpoints {
                 if let Some(route) = table.route(endpoint, slots, &homes, before) {
                     let index = routes.endpoints.len() as u32;
@@ -262,8 +267,7 @@
             let (_, index) = self.ring[(start + step) % self.ring.len()];
             let endpoint = &self.endpoints[index as usize];
             let open = endpoint.load.is_open(now_ms) && endpoint.home_load.is_open(now_ms);
-            if !open || avoid.contains(&endpoint.key) || seen[..count].contains(&index)
-            {
+            if !open || avoid.contains(&endpoint.key) || seen[..count].contains(&index) {
                 continue;
             }
             let estimate = endpoint.load.estimate(now_ms);
--- a/flamingoscale/src/service.rs
+++ b/flamingoscale/src/service.rs
@@ -192,7 +192,9 @@
     if !headers.contains_key(NOT_RUN_HEADER) {
         return None;
     }
-    let seconds = headers.get("retry-after").and_then(|value| value.to_str().ok());
+    let seconds = headers
+        .get("retry-after")
+        .and_then(|value| value.to_str().ok());
     let after_ms = seconds
         .and_then(|value| value.parse::<u64>().ok())
         .map_or(REFUSED_RETRY_MS, |seconds| seconds.saturating_mul(1_000));
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -317,6 +317,10 @@
 /// What a failed exchange says of the request.
 fn lost(error: &awc::error::SendRequestError) -> Try {
     match error {
+        // The other end closed the connection, perhaps after it took the request.
+        awc::error::SendRequestError::Connect(awc::error::ConnectError::Disconnected) => {
+            Try::Unknown("the connection was closed".into())
+        }
         awc::error::SendRequestError::Connect(_) => Try::NotConnected,
         other => Try::Unknown(other.to_string()),
     }
--- /dev/null
+++ b/standin/src/cluster.rs
@@ -0,0 +1,366 @@
+//! Entry instances with a fixed view and peers in memory: traffic alone, without control state.
+//!
+//! Tests and experiments of the request path use it where the log, leases and membership would
+//! only add time.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap,
+        HashSet, //
+    },
+    io,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::{
+        Arc,
+        Mutex, //
+    }, //
+};
+
+use actix_rt::Arbiter;
+use actix_web::{
+    App,
+    HttpServer, //
+};
+use flamingoscale::{
+    clock::BootClock,
+    configuration::{
+        Configuration,
+        FailureDomain,
+        Organisation,
+        Service, //
+    },
+    dispatch::Dispatcher,
+    gateway::{
+        self,
+        Gateway, //
+    },
+    instance::Instance,
+    keys::{
+        self,
+        KeyTable, //
+    },
+    peer::{
+        PeerError,
+        PeerHandler,
+        PeerRequest,
+        PeerStream,
+        Peers, //
+    },
+    settings::SettingsBuilder,
+    view::{
+        Endpoint,
+        EndpointKey,
+        EndpointTable,
+        Member,
+        View, //
+    },
+    wire::{
+        EndpointPhase,
+        PlatformEndpoint,
+        Tier, //
+    }, //
+};
+
+use crate::platform::lock;
+
+/// What answers an instance's peers, and the thread that it runs on.
+type Handler = (Arc<dyn PeerHandler>, actix_rt::ArbiterHandle);
+
+/// The peers of a cluster, connected in memory.
+#[derive(Default)]
+struct Wires {
+    handlers: Mutex<HashMap<Arc<str>, Handler>>,
+    cut: Mutex<HashSet<Arc<str>>>,
+    silent: Mutex<HashSet<Arc<str>>>,
+}
+
+/// One instance's way to the others.
+struct Wire {
+    from: Arc<str>,
+    wires: Arc<Wires>,
+}
+
+impl Peers for Wire {
+    fn open(&self, peer: &Arc<str>, _address: &Arc<str>, request: PeerRequest) -> PeerStream {
+        let (sender, stream) = PeerStream::channel();
+        let cut = lock(&self.wires.cut);
+        if cut.contains(peer) || cut.contains(&self.from) {
+            let _ = sender.try_send(Err(PeerError::NotSent {
+                peer: peer.clone(),
+                reason: "the wire is cut".into(),
+            }));
+            return stream;
+        }
+        let handlers = lock(&self.wires.handlers);
+        let Some((handler, arbiter)) = handlers.get(peer) else {
+            return stream;
+        };
+        let (handler, from) = (handler.clone(), self.from.clone());
+        let silent = lock(&self.wires.silent).contains(peer);
+        arbiter.spawn(async move {
+            if silent {
+                sender.closed().await;
+                return;
+            }
+            let (replies, mut taken) = tokio::sync::mpsc::channel(32);
+            handler.handle(from, request, replies);
+            loop {
+                let reply = tokio::select! {
+                    reply = taken.recv() => reply,
+                    () = sender.closed() => return,
+                };
+                let Some(reply) = reply else {
+                    return;
+                };
+                if sender.send(Ok(reply)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        stream
+    }
+}
+
+/// One instance of a cluster.
+pub struct Node {
+    /// What its threads share.
+    pub instance: Arc<Instance>,
+    /// Its dispatcher.
+    pub dispatcher: Arc<Dispatcher>,
+    /// Where callers reach it.
+    pub address: SocketAddr,
+}
+
+/// What a cluster is made of.
+#[derive(Default)]
+pub struct ClusterBuilder {
+    nodes: Vec<(Arc<str>, Arc<str>)>,
+    configuration: Configuration,
+    endpoints: Vec<PlatformEndpoint>,
+    traffic_threads: usize,
+}
+
+/// A running cluster.
+pub struct Cluster {
+    /// Its instances.
+    pub nodes: Vec<Node>,
+    /// A key of each organisation.
+    pub keys: BTreeMap<Arc<str>, Arc<str>>,
+    wires: Arc<Wires>,
+    arbiters: Vec<Arbiter>,
+}
+
+impl ClusterBuilder {
+    /// Adds an instance.
+    pub fn node(mut self, name: &str, failure_domain: &str) -> Self {
+        self.nodes.push((name.into(), failure_domain.into()));
+        let known = &mut self.configuration.failure_domains;
+        if !known.iter().any(|domain| &*domain.name == failure_domain) {
+            known.push(FailureDomain {
+                name: failure_domain.into(),
+                region: "here".into(),
+            });
+        }
+        self
+    }
+
+    /// Adds a service.
+    pub fn service(mut self, service: Service) -> Self {
+        self.configuration.services.push(service);
+        self
+    }
+
+    /// Adds an organisation, which gets a key.
+    pub fn organisation(mut self, name: &str, weight: u32, tokens_per_s: u64) -> Self {
+        self.configuration.organisations.push(Organisation {
+            name: name.into(),
+            weight,
+            tokens_per_s,
+        });
+        self
+    }
+
+    /// Adds an endpoint of a service.
+    pub fn endpoint(
+        mut self,
+        name: &str,
+        service: &str,
+        failure_domain: &str,
+        address: SocketAddr,
+    ) -> Self {
+        self.endpoints.push(PlatformEndpoint {
+            endpoint: name.into(),
+            service: service.into(),
+            failure_domain: failure_domain.into(),
+            address: address.to_string().into(),
+            tier: Tier::Firm,
+            phase: EndpointPhase::Running,
+            order: 0,
+        });
+        self
+    }
+
+    /// Sets the threads that serve callers at each instance.
+    pub fn traffic_threads(mut self, threads: usize) -> Self {
+        self.traffic_threads = threads;
+        self
+    }
+
+    /// Starts the instances. Must be called on a thread of the runtime.
+    ///
+    /// # Errors
+    ///
+    /// When a port can't be opened.
+    pub fn start(self) -> io::Result<Cluster> {
+        let wires = Arc::new(Wires::default());
+        let mut nodes = Vec::new();
+        let mut arbiters = Vec::new();
+        for (number, (name, domain)) in self.nodes.iter().enumerate() {
+            let arbiter = Arbiter::new();
+            let node = self.start_node(number as u64, name, domain, &wires, &arbiter)?;
+            nodes.push(node);
+            arbiters.push(arbiter);
+        }
+        let mut table = KeyTable::default();
+        let mut keys = BTreeMap::new();
+        for organisation in &self.configuration.organisations {
+            let (key, entry) = keys::generate(organisation.name.clone(), &mut rand::rng());
+            table.grant(entry);
+            keys.insert(organisation.name.clone(), key);
+        }
+        let view = View {
+            revision: 1,
+            folded: 1,
+            configuration: Arc::new(self.configuration),
+            keys: Arc::new(table),
+            endpoints: Arc::new(endpoint_table(&self.endpoints)),
+            members: Arc::new(nodes.iter().map(member).collect()),
+            ..View::default()
+        };
+        for node in &nodes {
+            node.instance.view.store(view.clone());
+            node.instance.view.set_fresh_until(u64::MAX);
+        }
+        Ok(Cluster {
+            nodes,
+            keys,
+            wires,
+            arbiters,
+        })
+    }
+
+    fn start_node(
+        &self,
+        number: u64,
+        name: &Arc<str>,
+        domain: &Arc<str>,
+        wires: &Arc<Wires>,
+        arbiter: &Arbiter,
+    ) -> io::Result<Node> {
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let listener = TcpListener::bind(nowhere)?;
+        let address = listener.local_addr()?;
+        let settings = SettingsBuilder::new(name.clone(), domain.clone(), nowhere, nowhere)
+            .address(address)
+            .build();
+        let clock = Arc::new(BootClock);
+        let instance = Arc::new(Instance::new(settings, number + 1, clock));
+        let dispatcher = Dispatcher::new(instance.clone());
+        instance.set_dispatch(dispatcher.clone());
+        instance.set_peers(Arc::new(Wire {
+            from: name.clone(),
+            wires: wires.clone(),
+        }));
+        let handler: Arc<dyn PeerHandler> = dispatcher.clone();
+        lock(&wires.handlers).insert(name.clone(), (handler, arbiter.handle()));
+        let watched = dispatcher.clone();
+        arbiter.spawn_fn(move || {
+            actix_rt::spawn(watched.watch());
+        });
+        let gateway = Gateway::new(instance.clone(), dispatcher.clone());
+        let server = HttpServer::new(move || {
+            let gateway = gateway.clone();
+            App::new().configure(move |config| gateway::configure(config, gateway))
+        })
+        .workers(self.traffic_threads.max(1))
+        .disable_signals()
+        .listen(listener)?
+        .run();
+        actix_rt::spawn(server);
+        Ok(Node {
+            instance,
+            dispatcher,
+            address,
+        })
+    }
+}
+
+fn endpoint_table(endpoints: &[PlatformEndpoint]) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    for (number, platform) in endpoints.iter().enumerate() {
+        let key = EndpointKey(number as u32);
+        let keys = table.by_service.entry(platform.service.clone());
+        keys.or_default().push(key);
+        let platform = platform.clone();
+        table.endpoints.insert(key, Endpoint { key, platform });
+    }
+    table.next_key = endpoints.len() as u32;
+    table
+}
+
+fn member(node: &Node) -> Member {
+    let settings = &node.instance.settings;
+    Member {
+        instance: settings.instance.clone(),
+        incarnation: node.instance.incarnation,
+        failure_domain: settings.failure_domain.clone(),
+        address: node.address.to_string().into(),
+        peer_address: settings.instance.clone(),
+        leaving: false,
+        suspect: false,
+        revision: 1,
+    }
+}
+
+impl Cluster {
+    /// Changes the view of every instance.
+    pub fn update(&self, change: impl Fn(&mut View)) {
+        for node in &self.nodes {
+            let mut view = (*node.instance.view.load()).clone();
+            change(&mut view);
+            node.instance.view.store(view);
+        }
+    }
+
+    /// Cuts an instance off from its peers, or connects it again. Its streams go on.
+    pub fn cut(&self, name: &str, cut: bool) {
+        let mut names = lock(&self.wires.cut);
+        if cut {
+            names.insert(name.into());
+        } else {
+            names.remove(name);
+        }
+    }
+
+    /// Lets new streams to an instance go silent, or answers them again.
+    pub fn silence(&self, name: &str, silent: bool) {
+        let mut names = lock(&self.wires.silent);
+        if silent {
+            names.insert(name.into());
+        } else {
+            names.remove(name);
+        }
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for arbiter in &self.arbiters {
+            arbiter.stop();
+        }
+    }
+}
--- /dev/null
+++ b/standin/tests/traffic_path.rs
@@ -0,0 +1,386 @@
+//! The request path over several instances: whole answers, true outcomes, one run.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use awc::{
+    http::StatusCode,
+    ClientResponse, //
+};
+use flamingoscale::{
+    configuration::{
+        Service,
+        ServiceKind, //
+    },
+    wire::{
+        Completion,
+        CompletionChunk,
+        CompletionRequest,
+        Entries,
+        ErrorBody,
+        OUTCOME_HEADER, //
+    }, //
+};
+use futures::StreamExt as _;
+use standin::{
+    cluster::{
+        Cluster,
+        ClusterBuilder, //
+    },
+    engine::{
+        expected_text,
+        EngineSettings,
+        EngineStandin, //
+    },
+    face::Host,
+    faults::Fault,
+    service::{
+        expected_value,
+        LookupAnswer,
+        ServiceStandin, //
+    }, //
+};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn service(name: &str, kind: ServiceKind, idempotent: bool) -> Service {
+    Service {
+        name: name.into(),
+        kind,
+        idempotent,
+        open: false,
+        firm_floor: 1,
+        ceiling: 4,
+        slots: 4,
+        checks_fencing: true,
+    }
+}
+
+struct Bed {
+    cluster: Cluster,
+    engines: Vec<Arc<EngineStandin>>,
+    services: Vec<Arc<ServiceStandin>>,
+    _host: Host,
+}
+
+/// Three instances, two engines, two plain services whose calls may not be repeated.
+async fn bed() -> Bed {
+    let host = Host::start().expect("a thread");
+    let mut builder = ClusterBuilder::default()
+        .node("n1", "saiq")
+        .node("n2", "shams")
+        .node("n3", "nizwa")
+        .organisation("lodges", 1, 0)
+        .service(service("draft", ServiceKind::Engine, true))
+        .service(service("lookup", ServiceKind::Plain, false))
+        .service(Service {
+            open: true,
+            ..service("board", ServiceKind::Plain, true)
+        });
+    let mut engines = Vec::new();
+    let mut services = Vec::new();
+    for (number, domain) in ["saiq", "shams"].into_iter().enumerate() {
+        let name = format!("engine{number}");
+        let settings = EngineSettings::new(&*name).tokens_per_s(2_000.0);
+        let engine = settings.first_version(3).start(&host).expect("a port");
+        builder = builder.endpoint(&name, "draft", domain, engine.address());
+        engines.push(engine);
+        let name = format!("lookup{number}");
+        let service = ServiceStandin::start(&host, 0, &*name, 1).expect("a port");
+        builder = builder.endpoint(&name, "lookup", domain, service.address());
+        services.push(service);
+    }
+    let board = ServiceStandin::start(&host, 0, "board0", 1).expect("a port");
+    builder = builder.endpoint("board0", "board", "saiq", board.address());
+    services.push(board);
+    let cluster = builder.start().expect("ports");
+    let bed = Bed {
+        cluster,
+        engines,
+        services,
+        _host: host,
+    };
+    bed.ready().await;
+    bed
+}
+
+impl Bed {
+    /// Waits until every home has read its endpoints' status.
+    async fn ready(&self) {
+        let started = Instant::now();
+        let mut reachable = 0;
+        while reachable < self.engines.len() + self.services.len() {
+            assert!(started.elapsed() < PATIENCE, "{reachable} are reachable");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            reachable = self.reachable();
+        }
+    }
+
+    fn reachable(&self) -> usize {
+        use flamingoscale::home::Homes as _;
+        let nodes = self.cluster.nodes.iter();
+        nodes
+            .flat_map(|node| {
+                let dispatcher = node.dispatcher.clone();
+                let homes = dispatcher.at_home().into_iter();
+                homes.filter_map(move |key| dispatcher.facts(key))
+            })
+            .filter(|facts| facts.reachable)
+            .count()
+    }
+
+    fn url(&self, node: usize, path: &str) -> String {
+        format!("http://{}{path}", self.cluster.nodes[node].address)
+    }
+
+    fn key(&self) -> String {
+        format!("Bearer {}", self.cluster.keys["lodges"])
+    }
+
+    async fn complete(&self, node: usize, prompt: &str, stream: bool) -> ClientResponse {
+        let request = CompletionRequest {
+            model: "draft".into(),
+            prompt: prompt.into(),
+            max_tokens: 20,
+            stream,
+            ..CompletionRequest::default()
+        };
+        client()
+            .post(self.url(node, "/v1/completions"))
+            .insert_header(("authorization", self.key()))
+            .send_json(&request)
+            .await
+            .expect("an answer")
+    }
+
+    async fn look_up(&self, node: usize, id: &str, headers: &[(&str, &str)]) -> ClientResponse {
+        let mut request = client()
+            .post(self.url(node, "/s/lookup/branches?near=e4"))
+            .insert_header(("authorization", self.key()));
+        for header in headers {
+            request = request.insert_header(*header);
+        }
+        let body = format!("{{\"id\":\"{id}\"}}");
+        request.send_body(body).await.expect("an answer")
+    }
+
+    fn runs(&self, id: &str) -> u64 {
+        let services = self.services.iter();
+        services
+            .map(|service| service.runs_by_body().get(id).copied().unwrap_or(0))
+            .sum()
+    }
+}
+
+fn client() -> awc::Client {
+    awc::Client::builder().timeout(PATIENCE).finish()
+}
+
+fn outcome(response: &ClientResponse) -> String {
+    let header = response.headers().get(OUTCOME_HEADER);
+    let header = header.expect("every answer names its outcome");
+    header.to_str().expect("it is a word").to_owned()
+}
+
+#[actix_rt::test]
+async fn a_completion_is_whole_from_every_instance() {
+    let bed = bed().await;
+    for node in 0..3 {
+        let prompt = format!("snow on piste {node}");
+        let mut response = bed.complete(node, &prompt, false).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert_eq!(outcome(&response), "ran");
+        let completion: Completion = response.json().await.expect("a completion");
+        assert_eq!(completion.text, expected_text(&prompt, 0, 20));
+        assert_eq!(completion.versions.len(), 1);
+        assert_eq!(completion.versions[0].version, 3);
+    }
+    assert!(bed.engines.iter().all(|engine| engine.keys_seen() == 0));
+}
+
+#[actix_rt::test]
+async fn a_stream_has_every_token_and_ends_with_done() {
+    let bed = bed().await;
+    let mut response = bed.complete(1, "wind from the north", true).await;
+    let mut text = Vec::new();
+    while let Some(bytes) = response.next().await {
+        text.extend_from_slice(&bytes.expect("the stream is whole"));
+    }
+    let text = String::from_utf8(text).expect("it is text");
+    let mut events: Vec<&str> = text.split("\n\n").filter(|e| !e.is_empty()).collect();
+    assert_eq!(events.pop(), Some("data: [DONE]"));
+    let answer: String = events
+        .iter()
+        .filter_map(|event| event.strip_prefix("data: "))
+        .map(|data| {
+            serde_json::from_str::<CompletionChunk>(data)
+                .expect("a chunk")
+                .text
+        })
+        .collect();
+    assert_eq!(answer, expected_text("wind from the north", 0, 20));
+}
+
+#[actix_rt::test]
+async fn a_lookup_runs_once_and_carries_no_key() {
+    let bed = bed().await;
+    for node in 0..3 {
+        let id = format!("crew {node}");
+        let mut response = bed.look_up(node, &id, &[("cookie", "a=b")]).await;
+        assert_eq!(outcome(&response), "ran");
+        let answer: LookupAnswer = response.json().await.expect("an answer");
+        assert_eq!(answer.value, expected_value(&id));
+        assert_eq!(bed.runs(&id), 1);
+    }
+    let seen = bed.services.iter().flat_map(|service| service.runs());
+    for run in seen {
+        assert_eq!(run.organisation, "lodges");
+        assert_eq!(run.path, "/branches?near=e4");
+    }
+    assert!(bed.services.iter().all(|service| service.keys_seen() == 0));
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_unknown_and_is_not_repeated() {
+    let bed = bed().await;
+    for service in &bed.services {
+        service.fault(&Fault::LoseAnswers { count: 100 });
+    }
+    let response = bed.look_up(0, "lost", &[]).await;
+    assert_eq!(outcome(&response), "unknown");
+    assert_eq!(response.status(), StatusCode::BAD_GATEWAY);
+    assert_eq!(bed.runs("lost"), 1);
+}
+
+#[actix_rt::test]
+async fn a_refusal_before_running_is_tried_elsewhere() {
+    let bed = bed().await;
+    bed.services[0].fault(&Fault::Refuse { count: 100 });
+    for number in 0..8 {
+        let id = format!("refused {number}");
+        let response = bed.look_up(number % 3, &id, &[]).await;
+        assert_eq!(outcome(&response), "ran");
+        assert_eq!(bed.runs(&id), 1);
+    }
+}
+
+#[actix_rt::test]
+async fn not_run_is_true_when_all_refuse() {
+    let bed = bed().await;
+    for service in &bed.services {
+        service.fault(&Fault::Refuse { count: 1_000 });
+    }
+    let started = Instant::now();
+    let response = bed.look_up(0, "never", &[]).await;
+    assert_eq!(outcome(&response), "not-run");
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(bed.runs("never"), 0);
+    assert!(started.elapsed() < PATIENCE, "it is refused at once");
+}
+
+#[actix_rt::test]
+async fn keys_decide_and_open_routes_need_none() {
+    let bed = bed().await;
+    let url = bed.url(0, "/s/lookup/x");
+    for shown in ["", "Bearer nonsense", "Bearer fk-a.b"] {
+        let request = client().post(&url).insert_header(("authorization", shown));
+        let response = request.send_body("nokey").await.expect("an answer");
+        assert_eq!(response.status(), StatusCode::UNAUTHORIZED);
+        assert_eq!(outcome(&response), "not-run");
+    }
+    assert_eq!(bed.runs("nokey"), 0);
+    let open = client().post(bed.url(0, "/s/board/x"));
+    let response = open.send_body("open").await.expect("an answer");
+    assert_eq!(outcome(&response), "ran");
+    assert_eq!(bed.runs("open"), 1);
+}
+
+#[actix_rt::test]
+async fn an_instance_that_is_not_fresh_refuses_keys() {
+    let bed = bed().await;
+    bed.cluster.nodes[0].instance.view.set_fresh_until(0);
+    let mut response = bed.look_up(0, "stale", &[]).await;
+    assert_eq!(outcome(&response), "not-run");
+    let body: ErrorBody = response.json().await.expect("an error body");
+    assert_eq!(&*body.kind, "not_fresh");
+    assert_eq!(bed.runs("stale"), 0);
+}
+
+#[actix_rt::test]
+async fn a_withdrawn_key_ends_its_running_stream() {
+    let bed = bed().await;
+    let request = CompletionRequest {
+        model: "draft".into(),
+        prompt: "a long one".into(),
+        max_tokens: 100_000,
+        stream: true,
+        ..CompletionRequest::default()
+    };
+    let sent = client()
+        .post(bed.url(0, "/v1/completions"))
+        .insert_header(("authorization", bed.key()))
+        .send_json(&request);
+    let mut response = sent.await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::OK);
+    response.next().await.expect("bytes").expect("they flow");
+    bed.cluster.update(|view| {
+        let mut keys = (*view.keys).clone();
+        let ids: Vec<Arc<str>> = keys.iter().map(|key| key.key_id.clone()).collect();
+        for id in ids {
+            keys.withdraw(&id);
+        }
+        view.keys = Arc::new(keys);
+    });
+    let mut rest = Vec::new();
+    while let Some(bytes) = response.next().await {
+        rest.extend_from_slice(&bytes.expect("it ends by an event"));
+    }
+    let rest = String::from_utf8(rest).expect("it is text");
+    assert!(rest.contains("key_withdrawn"));
+    assert!(!rest.contains("[DONE]"));
+}
+
+#[actix_rt::test]
+async fn entries_name_the_near_instance_first() {
+    let bed = bed().await;
+    let ask = client().get(bed.url(0, "/v1/entries?near=nizwa")).send();
+    let mut response = ask.await.expect("an answer");
+    let entries: Entries = response.json().await.expect("entries");
+    assert_eq!(&*entries.entries[0].instance, "n3");
+    assert_eq!(entries.entries.len(), 3);
+}
+
+#[actix_rt::test]
+async fn a_repeated_idempotency_key_gets_the_first_answer() {
+    let bed = bed().await;
+    let key = [("idempotency-key", "order-7")];
+    let mut first = bed.look_up(0, "once", &key).await;
+    let first: LookupAnswer = first.json().await.expect("an answer");
+    let mut second = bed.look_up(0, "once", &key).await;
+    assert_eq!(outcome(&second), "ran");
+    let second: LookupAnswer = second.json().await.expect("an answer");
+    assert_eq!(first, second);
+    assert_eq!(bed.runs("once"), 1);
+    let other = bed.look_up(0, "another", &key).await;
+    assert_eq!(other.status(), StatusCode::CONFLICT);
+    assert_eq!(outcome(&other), "not-run");
+    assert_eq!(bed.runs("another"), 0);
+}
+
+#[actix_rt::test]
+async fn usage_counts_what_was_delivered_once() {
+    let bed = bed().await;
+    let mut response = bed.complete(0, "count me", false).await;
+    response.body().await.expect("a body");
+    bed.look_up(0, "counted", &[("idempotency-key", "k")]).await;
+    bed.look_up(0, "counted", &[("idempotency-key", "k")]).await;
+    let figures = bed.cluster.nodes[0].instance.usage.take();
+    let lodges = figures["lodges"];
+    assert_eq!((lodges.requests, lodges.tokens), (2, 20));
+}
