--- /dev/null
+++ b/flamingoscale/src/engine/run.rs
@@ -0,0 +1,287 @@
+//! One completion on one engine: the request, the event stream, the proof of what ran.
+
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use awc::{
+    http::StatusCode,
+    ClientResponse, //
+};
+use futures::StreamExt as _;
+use tokio::time::{
+    timeout,
+    Instant, //
+};
+
+use crate::{
+    dispatch::{
+        Summary,
+        Work,
+        WorkEvent,
+        WorkSender, //
+    },
+    engine::{
+        client,
+        events::EventParser,
+        http, //
+    },
+    outcome::{
+        NotRun,
+        Outcome,
+        Refusal, //
+    },
+    view::EndpointKey,
+    wire::{
+        CompletionChunk,
+        CompletionRequest,
+        VersionSpan,
+        ENDPOINT_HEADER,
+        ORGANISATION_HEADER,
+        REQUEST_ID_HEADER, //
+    }, //
+};
+
+/// Longest wait for the head of an answer.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(5_000);
+
+/// Longest silence within an answer.
+const BETWEEN_BYTES: Duration = Duration::from_millis(8_000);
+
+/// When to try again after an engine refused for want of room.
+const FULL_RETRY_MS: u64 = 500;
+
+/// The endpoint that a try goes to.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) key: EndpointKey,
+    pub(crate) id: Arc<str>,
+    pub(crate) address: Arc<str>,
+}
+
+/// How one try at one endpoint ended.
+#[derive(Debug)]
+pub(crate) struct TryEnd {
+    pub(crate) outcome: Outcome<Summary>,
+    /// The endpoint broke off while it had the request, as in a crash.
+    pub(crate) broke: bool,
+}
+
+impl TryEnd {
+    pub(crate) fn not_run(not_run: NotRun) -> Self {
+        Self {
+            outcome: Outcome::NotRun(not_run),
+            broke: false,
+        }
+    }
+
+    pub(crate) fn unknown(reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            outcome: Outcome::Unknown(reason.into()),
+            broke: false,
+        }
+    }
+
+    pub(crate) fn broke(reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            outcome: Outcome::Unknown(reason.into()),
+            broke: true,
+        }
+    }
+}
+
+/// Runs a completion until its end, the deadline, or until nobody listens any more.
+pub(crate) async fn completion(
+    target: &Target,
+    work: &Work,
+    request: &CompletionRequest,
+    events: &WorkSender,
+    deadline: Instant,
+) -> TryEnd {
+    let response = match send(target, work, request, deadline).await {
+        Ok(response) => response,
+        Err(end) => return end,
+    };
+    if let Err(end) = check_head(target, &response) {
+        return end;
+    }
+    let mut reader = Reader::new(target, work, events);
+    let end = tokio::select! {
+        end = reader.read(response) => end,
+        () = events.closed() => TryEnd::unknown("the caller is gone"),
+        () = tokio::time::sleep_until(deadline) => TryEnd::unknown("the deadline passed"),
+    };
+    if !matches!(end.outcome, Outcome::Ran(_)) {
+        stop(target, work);
+    }
+    end
+}
+
+/// Tells the engine to stop, without waiting for it.
+fn stop(target: &Target, work: &Work) {
+    let cancel = http::cancel(target.address.clone(), work.request_id.clone());
+    actix_rt::spawn(cancel);
+}
+
+async fn send(
+    target: &Target,
+    work: &Work,
+    request: &CompletionRequest,
+    deadline: Instant,
+) -> Result<ClientResponse, TryEnd> {
+    let mut body = request.clone();
+    body.stream = true;
+    let url = format!("http://{}/v1/completions", target.address);
+    let sent = client::pooled(&target.address)
+        .post(url)
+        .insert_header((REQUEST_ID_HEADER, &*work.request_id))
+        .insert_header((ORGANISATION_HEADER, &*work.organisation))
+        .send_json(&body);
+    let left = deadline.saturating_duration_since(Instant::now());
+    match timeout(HEAD_TIMEOUT.min(left), sent).await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(error)) => {
+            let outcome = client::failed_send(&error);
+            let broke = matches!(outcome, Outcome::Unknown(_));
+            Err(TryEnd { outcome, broke })
+        }
+        Err(_) => {
+            // The connection may have gone silent, and others to the same address with it.
+            client::forget(&target.address);
+            stop(target, work);
+            Err(TryEnd::unknown("the engine gave no answer"))
+        }
+    }
+}
+
+/// Only an answer of the right endpoint with the right status is read on.
+fn check_head(target: &Target, response: &ClientResponse) -> Result<(), TryEnd> {
+    let named = response.headers().get(ENDPOINT_HEADER);
+    if named.is_none_or(|name| name.as_bytes() != target.id.as_bytes()) {
+        return Err(TryEnd::unknown("another endpoint answered at this address"));
+    }
+    match response.status() {
+        StatusCode::OK => Ok(()),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let full = NotRun::retry_after(Refusal::Overloaded, FULL_RETRY_MS);
+            Err(TryEnd::not_run(full))
+        }
+        StatusCode::BAD_REQUEST | StatusCode::UNPROCESSABLE_ENTITY => {
+            let invalid = Refusal::Invalid("the engine refused the request".into());
+            Err(TryEnd::not_run(NotRun::for_good(invalid)))
+        }
+        status => {
+            let reason = format!("the engine answered with status {status}");
+            Err(TryEnd::unknown(reason))
+        }
+    }
+}
+
+/// Reads one event stream and passes its chunks on.
+struct Reader<'a> {
+    target: &'a Target,
+    work: &'a Work,
+    events: &'a WorkSender,
+    parser: EventParser,
+    summary: Summary,
+    versions_told: bool,
+    finished: bool,
+}
+
+impl<'a> Reader<'a> {
+    fn new(target: &'a Target, work: &'a Work, events: &'a WorkSender) -> Self {
+        Self {
+            target,
+            work,
+            events,
+            parser: EventParser::default(),
+            summary: Summary {
+                endpoint: target.key,
+                ..Summary::default()
+            },
+            versions_told: true,
+            finished: false,
+        }
+    }
+
+    async fn read(&mut self, mut response: ClientResponse) -> TryEnd {
+        loop {
+            let bytes = match timeout(BETWEEN_BYTES, response.next()).await {
+                Ok(Some(Ok(bytes))) => bytes,
+                Ok(Some(Err(error))) => return TryEnd::broke(error.to_string()),
+                Ok(None) => return TryEnd::broke("the engine's answer ended early"),
+                Err(_) => {
+                    client::forget(&self.target.address);
+                    return TryEnd::unknown("the engine's answer fell silent");
+                }
+            };
+            self.parser.push(&bytes);
+            loop {
+                match self.parser.next() {
+                    Ok(Some(data)) => {
+                        if let Some(end) = self.event(&data).await {
+                            return end;
+                        }
+                    }
+                    Ok(None) => break,
+                    Err(_) => return TryEnd::unknown("the engine sent an endless event"),
+                }
+            }
+        }
+    }
+
+    /// Takes in one event; returns the end of the try if this was its last.
+    async fn event(&mut self, data: &str) -> Option<TryEnd> {
+        if data == "[DONE]" {
+            return Some(self.done());
+        }
+        let chunk = match serde_json::from_str::<CompletionChunk>(data) {
+            Ok(chunk) => chunk,
+            Err(_) => return Some(TryEnd::unknown("the engine sent an error or garbage")),
+        };
+        if chunk.id != self.work.request_id {
+            return Some(TryEnd::unknown("the engine sent another request's answer"));
+        }
+        self.add(&chunk);
+        if self.events.send(WorkEvent::Chunk(chunk)).await.is_err() {
+            return Some(TryEnd::unknown("the caller is gone"));
+        }
+        None
+    }
+
+    fn add(&mut self, chunk: &CompletionChunk) {
+        self.summary.tokens += chunk.tokens;
+        if let Some(reason) = &chunk.finish_reason {
+            self.summary.finish_reason = reason.clone();
+            self.finished = true;
+        }
+        match chunk.version {
+            _ if chunk.tokens == 0 => {}
+            Some(version) => add_span(&mut self.summary.versions, version, chunk.tokens),
+            None => self.versions_told = false,
+        }
+    }
+
+    fn done(&mut self) -> TryEnd {
+        if !self.finished || &*self.summary.finish_reason == "cancelled" {
+            return TryEnd::unknown("the engine stopped before the end");
+        }
+        let mut summary = std::mem::take(&mut self.summary);
+        if !self.versions_told {
+            summary.versions.clear();
+        }
+        TryEnd {
+            outcome: Outcome::Ran(summary),
+            broke: false,
+        }
+    }
+}
+
+/// Adds tokens of a version to the end of a list of spans.
+pub(crate) fn add_span(spans: &mut Vec<VersionSpan>, version: u64, tokens: u32) {
+    match spans.last_mut() {
+        Some(last) if last.version == version => last.tokens += tokens,
+        _ => spans.push(VersionSpan { version, tokens }),
+    }
+}
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -49,6 +49,8 @@
 pub mod questionnaire;
 pub mod record;
 pub mod rollout;
+pub mod routing;
+pub mod service;
 pub mod settings;
 pub mod state;
 pub mod timeline;
