--- a/standin/src/bin/flamingoscale-standin.rs
+++ b/standin/src/bin/flamingoscale-standin.rs
@@ -85,11 +85,11 @@
     let platform_port = long("platform-port")
         .help("Port of the platform on loopback; 0 lets the kernel choose")
         .argument::<u16>("PORT")
-        .fallback(7100);
+        .fallback(7300);
     let store_port = long("store-port")
         .help("Port of the weight store")
         .argument::<u16>("PORT")
-        .fallback(7101);
+        .fallback(7301);
     let store_bytes_per_s = long("store-bytes-per-s")
         .help("Bytes a second that the store gives to all readers together")
         .argument::<u64>("BYTES")
@@ -124,7 +124,7 @@
     })
     .to_options()
     .descr("Stand-ins for the platform, the weight store, engines and plain services")
-    .footer("Faults: curl -H 'content-type: application/json' -d '{\"outage\":{\"for_ms\":5000}}' http://127.0.0.1:7100/fault")
+    .footer("Faults: curl -H 'content-type: application/json' -d '{\"outage\":{\"for_ms\":5000}}' http://127.0.0.1:7300/fault")
 }
 
 fn main() -> std::io::Result<()> {
--- /dev/null
+++ b/standin/src/demo.rs
@@ -0,0 +1,239 @@
+//! The whole path in one process: stand-ins, nodes, callers, a trainer and an operator.
+//!
+//! What it reports is counted by stand-ins, callers and trainers, never by the nodes.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::{
+    timeline,
+    wire::{
+        OpenStep,
+        PublishVersion, //
+    }, //
+};
+
+mod callers;
+mod faults;
+mod nodes;
+mod operator;
+mod report;
+mod world;
+
+pub use report::Report;
+
+use callers::{
+    Callers,
+    Findings, //
+};
+use faults::Plan;
+use nodes::Nodes;
+use operator::Operator;
+use world::World;
+
+/// Longest that one thing may take, faults included.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+/// What operators show in the demo.
+const OPERATOR_TOKEN: &str = "demo-operator-token";
+
+/// Samples of one step.
+const GROUPS: usize = 4;
+const SAMPLES_PER_GROUP: u16 = 4;
+const SAMPLE_TOKENS: u32 = 40;
+
+/// How many versions a sample may be behind.
+const STALENESS_BOUND: u64 = 1;
+
+/// Size of one weight version.
+const VERSION_BYTES: u64 = 2_000_000;
+
+/// What a run does.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Decides the faults and what callers ask.
+    pub seed: u64,
+    /// Whether faults are injected.
+    pub faults: bool,
+    /// How many nodes run.
+    pub nodes: usize,
+    /// How many steps the trainer opens.
+    pub steps: u64,
+    /// Whether the time line is printed.
+    pub show_timeline: bool,
+}
+
+/// Shows what happens to a person.
+pub(crate) fn progress(text: &str) {
+    eprintln!("demo: {text}");
+}
+
+/// Runs the demo on the calling thread.
+///
+/// # Errors
+///
+/// What could not be done at all. Broken promises are in the report.
+pub fn run(options: Options) -> Result<Report, String> {
+    actix_rt::System::new().block_on(run_whole(options))
+}
+
+async fn run_whole(options: Options) -> Result<Report, String> {
+    let started = Instant::now();
+    let world = World::start().map_err(|error| error.to_string())?;
+    let nodes = Rc::new(Nodes::start(options.nodes, &world)?);
+    progress(&format!("{} nodes are up", options.nodes));
+    let operator = Operator::new(nodes.addresses());
+    operator.wait_ready(PATIENCE).await?;
+    let revision = operator.submit(&world::questionnaire(), PATIENCE).await?;
+    progress(&format!(
+        "the questionnaire is in force as revision {revision}"
+    ));
+    let keys = operator.grant_all(PATIENCE).await?;
+    progress("each organisation has a key");
+
+    let callers = Callers::start(&keys, nodes.addresses(), options.seed);
+    let plan = options.faults.then(|| Plan::new(options.seed));
+    let faults = plan.map(|plan| faults::inject(plan, world.clone(), nodes.clone()));
+    let mut report = Report::new(options.seed, options.nodes as u64);
+    train(&options, &world, &nodes, &keys.trainer, &mut report).await?;
+    let withdrawal =
+        callers::withdraw_in_use(&operator, &nodes.addresses(), options.faults).await?;
+    progress(&format!(
+        "a withdrawn key stopped its running stream after {withdrawal} ms"
+    ));
+    if let Some(faults) = faults {
+        let _ = faults.await;
+    }
+    let findings = callers.finish().await;
+    wait_for_usage(&world).await?;
+    count(&world, &findings, &mut report);
+    if options.show_timeline {
+        show_timeline(&operator, &nodes).await;
+    }
+    check_whole(&findings, options.faults, &mut report);
+    nodes.stop_all().await;
+    let took_s = started.elapsed().as_secs_f64();
+    progress(&format!("all of it took {took_s:.1} s"));
+    Ok(report)
+}
+
+/// Publishes versions, opens steps and checks their batches.
+async fn train(
+    options: &Options,
+    world: &Rc<World>,
+    nodes: &Nodes,
+    key: &Arc<str>,
+    report: &mut Report,
+) -> Result<(), String> {
+    let entries = nodes.addresses();
+    let mut trainer = crate::trainer::TrainerStandin::new(world::TRAINER, key.clone(), entries);
+    for step in 1..=options.steps {
+        let version = PublishVersion {
+            version: step,
+            bytes: VERSION_BYTES,
+        };
+        let store = world.store.address();
+        trainer.publish(store, version, PATIENCE).await?;
+        progress(&format!("weight version {step} is published"));
+        let wanted = wanted_step(options.seed, step);
+        trainer.open(&wanted, PATIENCE).await?;
+        let batch = trainer.fetch(step, PATIENCE).await?;
+        let check = crate::trainer::check_batch(&wanted, &batch, &world.engines());
+        progress(&format!(
+            "step {step}: {} of {} samples, newest version {}",
+            check.delivered, check.expected, batch.newest_version
+        ));
+        report.add_batch(check);
+        trainer.acknowledge(step, PATIENCE).await?;
+    }
+    Ok(())
+}
+
+fn wanted_step(seed: u64, step: u64) -> OpenStep {
+    let prompts = (0..GROUPS).map(|group| format!("Groomer log {seed}/{step}/{group}").into());
+    OpenStep {
+        step,
+        prompts: prompts.collect(),
+        samples_per_group: SAMPLES_PER_GROUP,
+        max_tokens: SAMPLE_TOKENS,
+        staleness_bound: STALENESS_BOUND,
+        deadline_ms: 20_000,
+        scoring: None,
+    }
+}
+
+async fn wait_for_usage(world: &World) -> Result<(), String> {
+    let started = Instant::now();
+    while world.platform.billed().is_empty() {
+        if started.elapsed() > PATIENCE {
+            return Err("no usage window was reported in time".to_owned());
+        }
+        crate::faults::sleep_ms(50).await;
+    }
+    progress("a usage window is reported");
+    Ok(())
+}
+
+/// Counts what the stand-ins saw.
+fn count(world: &World, findings: &Findings, report: &mut Report) {
+    let runs = world.runs_by_id();
+    report.lookups = findings.lookups;
+    report.lookups_wrong = findings.lookups_wrong;
+    report.not_run_false = findings.not_run.iter().filter(|id| runs.ran(id)).count() as u64;
+    report.ran_twice = runs.lookups_ran_twice();
+    report.usage_windows = world.platform.billed().len() as u64;
+    report.usage_conflicts = world.platform.usage_conflicts() + world.platform.reports_from_two();
+    report.keys_seen_by_endpoints = world.keys_seen();
+    let orders_from_two = world.platform.orders_from_two();
+    if orders_from_two > 0 {
+        report.broken(format!(
+            "{orders_from_two} orders came from a process that was replaced"
+        ));
+    }
+}
+
+/// Without faults every call has its whole answer; with faults some end as unknown.
+fn check_whole(findings: &Findings, faults: bool, report: &mut Report) {
+    let calls = findings.completions + findings.lookups;
+    let whole = findings.completions_whole + findings.lookups_whole;
+    progress(&format!(
+        "{whole} of {calls} calls got their whole answer ({} completions, {} lookups)",
+        findings.completions, findings.lookups
+    ));
+    for example in &findings.examples {
+        progress(&format!("not whole: {example}"));
+    }
+    if findings.completions_wrong > 0 {
+        let wrong = findings.completions_wrong;
+        report.broken(format!("{wrong} completions had a wrong answer"));
+    }
+    if !faults && whole != calls {
+        report.broken(format!("{} calls had no answer", calls - whole));
+    }
+}
+
+async fn show_timeline(operator: &Operator, nodes: &Nodes) {
+    let lines = operator.timelines(&nodes.addresses()).await;
+    let events = timeline::merge(lines);
+    let first = events.first().map_or(0, |event| event.stamp.wall_ms);
+    for event in &events {
+        let at_s = (event.stamp.wall_ms - first) as f64 / 1_000.0;
+        let fields: Vec<String> = event
+            .fields
+            .iter()
+            .map(|(name, value)| format!("{name}={value}"))
+            .collect();
+        let (process, kind) = (&event.process, &event.kind);
+        eprintln!(
+            "{at_s:8.3} {process:4} {kind:28} {} {}",
+            event.trace,
+            fields.join(" ")
+        );
+    }
+}
--- /dev/null
+++ b/standin/src/demo/callers.rs
@@ -0,0 +1,227 @@
+//! The callers of one run, and the one whose key is withdrawn.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    net::SocketAddr,
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::wire::CompletionRequest;
+use futures::StreamExt as _;
+use rand::{
+    RngExt as _,
+    SeedableRng as _, //
+};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    operator::{
+        Keys,
+        Operator, //
+    },
+    world::{
+        DOMAINS,
+        DRAFT,
+        LOOKUP,
+        ORGANISATIONS, //
+    },
+    PATIENCE, //
+};
+use crate::{
+    caller::{
+        Call,
+        CallerStandin, //
+    },
+    faults::sleep_ms, //
+};
+
+/// Callers of each organisation.
+const CALLERS_PER_KEY: usize = 2;
+
+/// Examples of calls without a whole answer that are shown.
+const SHOWN_EXAMPLES: usize = 5;
+
+/// Longest that a withdrawn key may go on working, as the questionnaire says.
+const WITHDRAWAL_LIMIT: Duration = Duration::from_secs(5);
+
+/// What the callers found.
+#[derive(Default)]
+pub(super) struct Findings {
+    pub(super) lookups: u64,
+    pub(super) lookups_whole: u64,
+    pub(super) lookups_wrong: u64,
+    pub(super) completions: u64,
+    pub(super) completions_whole: u64,
+    pub(super) completions_wrong: u64,
+    pub(super) not_run: Vec<String>,
+    pub(super) examples: Vec<String>,
+}
+
+impl Findings {
+    fn add(&mut self, call: &Call) {
+        self.not_run.extend(call.not_run().map(str::to_owned));
+        if !call.is_whole() && self.examples.len() < SHOWN_EXAMPLES {
+            self.examples.push(format!("{:?}", call.tries));
+        }
+    }
+
+    fn add_lookup(&mut self, call: &Call) {
+        self.lookups += 1;
+        self.lookups_whole += u64::from(call.is_whole());
+        self.lookups_wrong += call.wrong();
+        self.add(call);
+    }
+
+    fn add_completion(&mut self, call: &Call) {
+        self.completions += 1;
+        self.completions_whole += u64::from(call.is_whole());
+        self.completions_wrong += call.wrong();
+        self.add(call);
+    }
+}
+
+/// The callers while they run.
+pub(super) struct Callers {
+    over: Rc<Cell<bool>>,
+    findings: Rc<RefCell<Findings>>,
+    tasks: Vec<actix_rt::task::JoinHandle<()>>,
+}
+
+impl Callers {
+    pub(super) fn start(keys: &Keys, seeds: Vec<SocketAddr>, seed: u64) -> Self {
+        let over = Rc::new(Cell::new(false));
+        let findings = Rc::new(RefCell::new(Findings::default()));
+        let mut tasks = Vec::new();
+        for (number, key) in keys.callers.iter().enumerate() {
+            for copy in 0..CALLERS_PER_KEY {
+                let near = DOMAINS[(number + copy) % DOMAINS.len()];
+                let caller = CallerStandin::new(Some(key.clone()), near, seeds.clone());
+                let name = format!("{}-{copy}", ORGANISATIONS[number]);
+                let random = ChaCha8Rng::seed_from_u64(seed ^ ((number * 16 + copy) as u64));
+                let task = call_until_over(caller, name, random, over.clone(), findings.clone());
+                tasks.push(actix_rt::spawn(task));
+            }
+        }
+        Self {
+            over,
+            findings,
+            tasks,
+        }
+    }
+
+    /// Lets every caller end its call and returns what they found.
+    pub(super) async fn finish(self) -> Findings {
+        self.over.set(true);
+        for task in self.tasks {
+            let _ = task.await;
+        }
+        self.findings.take()
+    }
+}
+
+async fn call_until_over(
+    mut caller: CallerStandin,
+    name: String,
+    mut random: ChaCha8Rng,
+    over: Rc<Cell<bool>>,
+    findings: Rc<RefCell<Findings>>,
+) {
+    let mut number = 0;
+    while !over.get() {
+        number += 1;
+        let id = format!("{name}-{number}");
+        let tokens = random.random_range(5..30);
+        let stream = random.random_bool(0.5);
+        let completion = caller.complete(DRAFT, &id, tokens, stream).await;
+        findings.borrow_mut().add_completion(&completion);
+        let lookup = caller.look_up(LOOKUP, &id).await;
+        findings.borrow_mut().add_lookup(&lookup);
+        sleep_ms(random.random_range(5..50)).await;
+    }
+}
+
+/// Withdraws a key while its caller's stream runs; returns after how many milliseconds it stopped.
+pub(super) async fn withdraw_in_use(
+    operator: &Operator,
+    entries: &[SocketAddr],
+    faults: bool,
+) -> Result<u64, String> {
+    let granted = operator.grant(ORGANISATIONS[0], PATIENCE).await?;
+    let mut response = open_long_stream(entries, &granted.key, PATIENCE).await?;
+    let first = response.next().await;
+    if !matches!(first, Some(Ok(_))) {
+        return Err("the stream of the key to withdraw did not start".to_owned());
+    }
+    let withdrawn_at = Instant::now();
+    operator.withdraw(&granted.key_id, PATIENCE).await?;
+    loop {
+        let next = actix_rt::time::timeout(WITHDRAWAL_LIMIT, response.next()).await;
+        if withdrawn_at.elapsed() > PATIENCE {
+            return Err("the stream of a withdrawn key went on".to_owned());
+        }
+        match next {
+            Ok(Some(Ok(_))) => {}
+            Ok(_) => break,
+            Err(_) => return Err("the stream of a withdrawn key hangs".to_owned()),
+        }
+    }
+    let took = withdrawn_at.elapsed();
+    if took > WITHDRAWAL_LIMIT && !faults {
+        return Err(format!(
+            "a withdrawn key worked for {} ms",
+            took.as_millis()
+        ));
+    }
+    if let Ok(response) = open_stream(entries[0], &granted.key).await {
+        let status = response.status();
+        if status.is_success() {
+            return Err(format!("a withdrawn key was taken: {status}"));
+        }
+    }
+    Ok(took.as_millis() as u64)
+}
+
+async fn open_stream(entry: SocketAddr, key: &str) -> Result<awc::ClientResponse, String> {
+    let body = CompletionRequest {
+        model: DRAFT.into(),
+        prompt: "A stream that ends with its key".into(),
+        // Longer than the limit on withdrawal at the engines' speed.
+        max_tokens: 4_000,
+        stream: true,
+        ..CompletionRequest::default()
+    };
+    let url = format!("http://{entry}/v1/completions");
+    let request = crate::caller::client()
+        .post(url)
+        .timeout(PATIENCE)
+        .bearer_auth(key);
+    let sent = request.send_json(&body).await;
+    sent.map_err(|error| error.to_string())
+}
+
+async fn open_long_stream(
+    entries: &[SocketAddr],
+    key: &str,
+    limit: Duration,
+) -> Result<awc::ClientResponse, String> {
+    let started = Instant::now();
+    let mut last = String::new();
+    while started.elapsed() < limit {
+        for &entry in entries {
+            match open_stream(entry, key).await {
+                Ok(response) if response.status().is_success() => return Ok(response),
+                Ok(response) => last = response.status().to_string(),
+                Err(error) => last = error,
+            }
+        }
+        sleep_ms(100).await;
+    }
+    Err(format!("no stream for a new key: {last}"))
+}
--- /dev/null
+++ b/standin/src/demo/faults.rs
@@ -0,0 +1,176 @@
+//! The seeded mix of failures of one run.
+
+use std::{
+    rc::Rc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use rand::{
+    seq::SliceRandom as _,
+    RngExt as _,
+    SeedableRng as _, //
+};
+use rand_chacha::ChaCha8Rng;
+
+use super::{
+    nodes::Nodes,
+    progress,
+    world::{
+        World,
+        DOMAINS, //
+    }, //
+};
+use crate::faults::{
+    sleep_ms,
+    Fault, //
+};
+
+/// The first fault comes this long after the callers started.
+const FIRST_AT_MS: u64 = 500;
+
+/// Longest pause between two faults.
+const LONGEST_PAUSE_MS: u64 = 1_200;
+
+/// What a fault hits.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Target {
+    Platform,
+    Store,
+    Engine(usize),
+    Service(usize),
+    /// Takes back one endpoint of the platform's list.
+    Reclaim {
+        endpoint: usize,
+        notice_ms: u64,
+    },
+    /// Kills a node without a farewell.
+    Node(usize),
+}
+
+/// One fault at its time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Planned {
+    at_ms: u64,
+    target: Target,
+    fault: Fault,
+}
+
+/// All faults of one run, in order of time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Plan {
+    faults: Vec<Planned>,
+}
+
+impl Plan {
+    /// The mix for a seed: each kind of the brief's failures once, some twice, in any order.
+    pub(super) fn new(seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut faults = kinds(&mut random);
+        faults.shuffle(&mut random);
+        let mut at_ms = FIRST_AT_MS;
+        let planned = faults.into_iter().map(|(target, fault)| {
+            at_ms += random.random_range(50..LONGEST_PAUSE_MS);
+            Planned {
+                at_ms,
+                target,
+                fault,
+            }
+        });
+        Self {
+            faults: planned.collect(),
+        }
+    }
+}
+
+fn kinds(random: &mut ChaCha8Rng) -> Vec<(Target, Fault)> {
+    let mut engine = || Target::Engine(random.random_range(0..3));
+    let crashed = engine();
+    let silent = engine();
+    let quiet = engine();
+    let lossy = engine();
+    let failing = engine();
+    let back_after_ms = Some(random.random_range(200..1_500));
+    let for_ms = random.random_range(500..2_500);
+    let service = Target::Service(random.random_range(0..2));
+    let node = Target::Node(random.random_range(0..DOMAINS.len()));
+    let reclaim = Target::Reclaim {
+        endpoint: random.random_range(0..5),
+        notice_ms: random.random_range(500..2_000),
+    };
+    vec![
+        (crashed, Fault::Crash { back_after_ms }),
+        (silent, Fault::SilenceOpen),
+        (
+            quiet,
+            Fault::Silent {
+                for_ms: Some(for_ms),
+            },
+        ),
+        (lossy, Fault::LoseAnswers { count: 2 }),
+        (failing, Fault::FailSwaps { count: 1 }),
+        (service.clone(), Fault::LoseAnswers { count: 2 }),
+        (service.clone(), Fault::Refuse { count: 3 }),
+        (service, Fault::Crash { back_after_ms }),
+        (Target::Platform, Fault::Outage { for_ms }),
+        (Target::Platform, Fault::LoseAnswers { count: 3 }),
+        (Target::Platform, Fault::SilenceOpen),
+        (Target::Store, Fault::Outage { for_ms: 500 }),
+        (reclaim, Fault::Clear),
+        (node, Fault::Clear),
+    ]
+}
+
+/// Lets the planned faults happen in the background.
+pub(super) fn inject(
+    plan: Plan,
+    world: Rc<World>,
+    nodes: Rc<Nodes>,
+) -> actix_rt::task::JoinHandle<()> {
+    let started = Instant::now();
+    actix_rt::spawn(async move {
+        for planned in plan.faults {
+            let at = Duration::from_millis(planned.at_ms);
+            let left = at.saturating_sub(started.elapsed());
+            sleep_ms(left.as_millis() as u64).await;
+            progress(&format!(
+                "fault at {:?}: {:?}",
+                planned.target, planned.fault
+            ));
+            strike(&planned, &world, &nodes);
+        }
+    })
+}
+
+fn strike(planned: &Planned, world: &World, nodes: &Nodes) {
+    let fault = &planned.fault;
+    match planned.target {
+        Target::Platform => world.platform.fault(fault),
+        Target::Store => world.store.fault(fault),
+        Target::Engine(number) => world.engines()[number].fault(fault),
+        Target::Service(number) => world.services()[number].fault(fault),
+        Target::Reclaim {
+            endpoint,
+            notice_ms,
+        } => {
+            let listed = world.platform.endpoints();
+            if let Some(listed) = listed.get(endpoint % listed.len().max(1)) {
+                world.platform.reclaim(&listed.endpoint, notice_ms);
+            }
+        }
+        Target::Node(number) => nodes.kill(number),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_plan_replays_from_its_seed() {
+        assert_eq!(Plan::new(7), Plan::new(7));
+        assert_ne!(Plan::new(7), Plan::new(8));
+    }
+}
--- /dev/null
+++ b/standin/src/demo/operator.rs
@@ -0,0 +1,212 @@
+//! The operator of one run, over the admin HTTP face.
+
+use std::{
+    cell::Cell,
+    net::SocketAddr,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use awc::{
+    http::Method,
+    Client, //
+};
+use flamingoscale::{
+    timeline::Event,
+    wire::{
+        GrantKey,
+        GrantedKey,
+        QuestionnaireState,
+        Status,
+        SubmitQuestionnaire,
+        WithdrawnKey, //
+    }, //
+};
+use serde::{
+    de::DeserializeOwned,
+    Serialize, //
+};
+
+use super::{
+    world::ORGANISATIONS,
+    OPERATOR_TOKEN, //
+};
+use crate::{
+    caller::client,
+    faults::sleep_ms, //
+};
+
+/// Largest answer that is read.
+const BODY_LIMIT_BYTES: usize = 64 << 20;
+
+/// Longest that one exchange takes.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(5);
+
+/// The keys of one run.
+pub(super) struct Keys {
+    /// One for each organisation.
+    pub(super) callers: Vec<Arc<str>>,
+    /// The trainer's.
+    pub(super) trainer: Arc<str>,
+}
+
+/// The operator, who uses any node that answers.
+pub(super) struct Operator {
+    client: Client,
+    nodes: Vec<SocketAddr>,
+    next: Cell<usize>,
+}
+
+impl Operator {
+    pub(super) fn new(nodes: Vec<SocketAddr>) -> Self {
+        Self {
+            client: client(),
+            nodes,
+            next: Cell::new(0),
+        }
+    }
+
+    /// Waits until every node says that it is ready.
+    pub(super) async fn wait_ready(&self, limit: Duration) -> Result<(), String> {
+        let started = Instant::now();
+        for node in &self.nodes {
+            let url = format!("http://{node}/health/ready");
+            loop {
+                let sent = self.client.get(&url).timeout(EXCHANGE_LIMIT).send().await;
+                if sent.is_ok_and(|response| response.status().is_success()) {
+                    break;
+                }
+                if started.elapsed() > limit {
+                    return Err(format!("node {node} never became ready"));
+                }
+                sleep_ms(20).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Submits the questionnaire and waits until it is in force on every node.
+    pub(super) async fn submit(&self, text: &str, limit: Duration) -> Result<u64, String> {
+        let body = SubmitQuestionnaire {
+            base_revision: 0,
+            text: text.into(),
+        };
+        let state: QuestionnaireState = self
+            .ask(Method::POST, "/admin/questionnaire", &body, limit)
+            .await?;
+        let started = Instant::now();
+        while !self.in_force_everywhere(state.revision).await {
+            if started.elapsed() > limit {
+                return Err("the questionnaire is not in force on every node".to_owned());
+            }
+            sleep_ms(20).await;
+        }
+        Ok(state.revision)
+    }
+
+    async fn in_force_everywhere(&self, revision: u64) -> bool {
+        for &node in &self.nodes {
+            let status = self.ask_node(node, Method::GET, "/admin/status", &()).await;
+            let status: Result<Status, String> = status;
+            if !status.is_ok_and(|status| status.revision >= revision) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Grants a key to every organisation.
+    pub(super) async fn grant_all(&self, limit: Duration) -> Result<Keys, String> {
+        let mut callers = Vec::new();
+        for organisation in ORGANISATIONS {
+            callers.push(self.grant(organisation, limit).await?.key);
+        }
+        let trainer = ORGANISATIONS[ORGANISATIONS.len() - 1];
+        Ok(Keys {
+            callers,
+            trainer: self.grant(trainer, limit).await?.key,
+        })
+    }
+
+    pub(super) async fn grant(
+        &self,
+        organisation: &str,
+        limit: Duration,
+    ) -> Result<GrantedKey, String> {
+        let body = GrantKey {
+            organisation: organisation.into(),
+        };
+        self.ask(Method::POST, "/admin/keys", &body, limit).await
+    }
+
+    pub(super) async fn withdraw(
+        &self,
+        key_id: &str,
+        limit: Duration,
+    ) -> Result<WithdrawnKey, String> {
+        let path = format!("/admin/keys/{key_id}");
+        self.ask(Method::DELETE, &path, &(), limit).await
+    }
+
+    /// The events of all nodes that answer.
+    pub(super) async fn timelines(&self, nodes: &[SocketAddr]) -> Vec<Vec<Event>> {
+        let mut lines = Vec::new();
+        for &node in nodes {
+            let path = "/admin/timeline?after=0";
+            if let Ok(events) = self.ask_node(node, Method::GET, path, &()).await {
+                lines.push(events);
+            }
+        }
+        lines
+    }
+
+    /// Asks the nodes in turn until one carries it out.
+    async fn ask<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+        limit: Duration,
+    ) -> Result<T, String> {
+        let started = Instant::now();
+        let mut last = String::new();
+        while started.elapsed() < limit {
+            let node = self.nodes[self.next.get() % self.nodes.len()];
+            self.next.set(self.next.get() + 1);
+            match self.ask_node(node, method.clone(), path, body).await {
+                Ok(answer) => return Ok(answer),
+                Err(error) => last = error,
+            }
+            sleep_ms(100).await;
+        }
+        Err(last)
+    }
+
+    async fn ask_node<T: DeserializeOwned>(
+        &self,
+        node: SocketAddr,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, String> {
+        let url = format!("http://{node}{path}");
+        let request = self.client.request(method.clone(), &url);
+        let request = request.timeout(EXCHANGE_LIMIT).bearer_auth(OPERATOR_TOKEN);
+        let sent = if method == Method::POST {
+            request.send_json(body).await
+        } else {
+            request.send().await
+        };
+        let mut response = sent.map_err(|error| format!("{url}: {error}"))?;
+        let read = response.body().limit(BODY_LIMIT_BYTES).await;
+        let bytes = read.map_err(|error| format!("{url}: {error}"))?;
+        if !response.status().is_success() {
+            let text = String::from_utf8_lossy(&bytes);
+            return Err(format!("{url}: status {} {text}", response.status()));
+        }
+        serde_json::from_slice(&bytes).map_err(|error| format!("{url}: {error}"))
+    }
+}
--- /dev/null
+++ b/standin/src/demo/world.rs
@@ -0,0 +1,178 @@
+//! The stand-ins of one run.
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    io,
+    rc::Rc,
+    sync::{
+        Arc,
+        Mutex, //
+    }, //
+};
+
+use flamingoscale::wire::{
+    EndpointPhase,
+    PlatformEndpoint,
+    Tier, //
+};
+
+use crate::{
+    engine::{
+        EngineSettings,
+        EngineStandin, //
+    },
+    face::Host,
+    platform::{
+        lock,
+        Platform,
+        PlatformSettings,
+        StartedEndpoint, //
+    },
+    service::ServiceStandin,
+    weight_store::WeightStore, //
+};
+
+/// The failure domains, in the order in which nodes and endpoints are spread.
+pub(super) const DOMAINS: [&str; 3] = ["saiq", "shams", "nizwa"];
+
+/// The organisations, the trainer's last.
+pub(super) const ORGANISATIONS: [&str; 3] = ["lodges", "rescue", "reports"];
+
+/// The trainer.
+pub(super) const TRAINER: &str = "notes";
+
+/// The engine service.
+pub(super) const DRAFT: &str = "draft";
+
+/// The plain service whose calls may not be repeated.
+pub(super) const LOOKUP: &str = "lookup";
+
+const ENGINES: usize = 3;
+const SERVICES: usize = 2;
+const TOKENS_PER_S: f64 = 400.0;
+const LOOKUP_MS: u64 = 10;
+const STORE_BYTES_PER_S: u64 = 50_000_000;
+
+/// Every endpoint that ever ran, also those that were ordered.
+#[derive(Clone, Default)]
+struct Fleet {
+    engines: Arc<Mutex<Vec<Arc<EngineStandin>>>>,
+    services: Arc<Mutex<Vec<Arc<ServiceStandin>>>>,
+}
+
+/// The stand-ins of one run.
+pub(super) struct World {
+    pub(super) platform: Platform,
+    pub(super) store: WeightStore,
+    fleet: Fleet,
+    _host: Host,
+}
+
+impl World {
+    pub(super) fn start() -> io::Result<Rc<Self>> {
+        let host = Host::start()?;
+        let platform = PlatformSettings::default().start(&host)?;
+        let store = WeightStore::start(&host, 0, STORE_BYTES_PER_S)?;
+        let fleet = Fleet::default();
+        for number in 0..ENGINES + SERVICES {
+            let service = if number < ENGINES { DRAFT } else { LOOKUP };
+            let domain = DOMAINS[number % DOMAINS.len()];
+            let mut listed = first_endpoint(service, domain, number);
+            if let Some(started) = fleet.start(&host, &listed) {
+                listed.address = started.address().to_string().into();
+                platform.add_endpoint(listed, started);
+            }
+        }
+        let (ordered, starter_host) = (fleet.clone(), host.clone());
+        platform.on_start(Box::new(move |listed| ordered.start(&starter_host, listed)));
+        Ok(Rc::new(Self {
+            platform,
+            store,
+            fleet,
+            _host: host,
+        }))
+    }
+
+    pub(super) fn engines(&self) -> Vec<Arc<EngineStandin>> {
+        lock(&self.fleet.engines).clone()
+    }
+
+    pub(super) fn services(&self) -> Vec<Arc<ServiceStandin>> {
+        lock(&self.fleet.services).clone()
+    }
+
+    pub(super) fn keys_seen(&self) -> u64 {
+        let engines = self.engines();
+        let services = self.services();
+        let by_engines: u64 = engines.iter().map(|engine| engine.keys_seen()).sum();
+        let by_services: u64 = services.iter().map(|service| service.keys_seen()).sum();
+        by_engines + by_services
+    }
+
+    /// What ran, by the ids that the callers gave their tries.
+    pub(super) fn runs_by_id(&self) -> Runs {
+        let mut runs = Runs::default();
+        for service in self.services() {
+            for (id, count) in service.runs_by_body() {
+                *runs.lookups.entry(id).or_default() += count;
+            }
+        }
+        for engine in self.engines() {
+            let began = engine.runs().into_iter().filter(|run| run.began);
+            runs.prompts.extend(began.map(|run| run.prompt.to_string()));
+        }
+        runs
+    }
+}
+
+impl Fleet {
+    fn start(&self, host: &Host, listed: &PlatformEndpoint) -> Option<Arc<dyn StartedEndpoint>> {
+        let endpoint = listed.endpoint.clone();
+        if &*listed.service == LOOKUP {
+            let service = ServiceStandin::start(host, 0, endpoint, LOOKUP_MS).ok()?;
+            lock(&self.services).push(service.clone());
+            return Some(service);
+        }
+        let settings = EngineSettings::new(endpoint).tokens_per_s(TOKENS_PER_S);
+        let engine = settings.start(host).ok()?;
+        lock(&self.engines).push(engine.clone());
+        Some(engine)
+    }
+}
+
+fn first_endpoint(service: &str, domain: &str, number: usize) -> PlatformEndpoint {
+    PlatformEndpoint {
+        endpoint: format!("{service}-{number}").into(),
+        service: service.into(),
+        failure_domain: domain.into(),
+        address: "".into(),
+        tier: Tier::Firm,
+        phase: EndpointPhase::Running,
+        order: 0,
+    }
+}
+
+/// What ran, by the ids that the callers gave their tries.
+#[derive(Default)]
+pub(super) struct Runs {
+    lookups: BTreeMap<String, u64>,
+    prompts: BTreeSet<String>,
+}
+
+impl Runs {
+    pub(super) fn ran(&self, id: &str) -> bool {
+        self.lookups.contains_key(id) || self.prompts.contains(id)
+    }
+
+    pub(super) fn lookups_ran_twice(&self) -> u64 {
+        self.lookups.values().filter(|&&count| count > 1).count() as u64
+    }
+}
+
+/// The answers to the questionnaire.
+pub(super) fn questionnaire() -> String {
+    include_str!("questionnaire.ini").to_owned()
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 //! and by `POST /fault` with a [`faults::Fault`] as JSON.
 
 pub mod caller;
+pub mod demo;
 pub mod engine;
 pub mod face;
 pub mod faults;
