--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -29,6 +29,7 @@
 
 pub mod clock;
 pub mod configuration;
+pub mod control;
 pub mod controller;
 pub mod dispatch;
 pub mod engine;
@@ -44,6 +45,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod questionnaire;
 pub mod record;
 pub mod rollout;
 pub mod settings;
