Keep the oldest claim of unknown fate when a later one is refused

A renewal whose answer was lost was sent again; when that second append was refused for certain, the lease forgot the first, and the next claim let the first one's term count from too late: two instances held the lease. The first sending now stays until some claim is folded.

--- a/flamingoscale/src/controller/tenure.rs
+++ b/flamingoscale/src/controller/tenure.rs
@@ -71,12 +71,10 @@
             let mut lease = self.lease.borrow_mut();
             lease.decide(now_ms, lease_ms, rank, leaving)
         };
-        let action = match action {
-            Some(action) => action,
-            None => match self.lease.borrow().resend(lease_ms) {
-                Some(action) if !leaving => action,
-                _ => return,
-            },
+        let resend = || self.lease.borrow_mut().resend(lease_ms);
+        let again = || if leaving { None } else { resend() };
+        let Some(action) = action.or_else(again) else {
+            return;
         };
         if self.is_new_claim(action) && !self.is_at_head().await {
             return self.lease.borrow_mut().refused();
--- a/flamingoscale/src/lease.rs
+++ b/flamingoscale/src/lease.rs
@@ -63,6 +63,8 @@
     seen: Option<Seen>,
     /// When the oldest claim whose fate is not known was sent.
     pending_since_ms: Option<u64>,
+    /// Whether the fate of some append since then is unknown, so that no later refusal settles it.
+    doubtful: bool,
     term: Option<Term>,
     /// Set by a fencing number that was refused, until the fold shows a claim above it.
     fenced: bool,
@@ -79,6 +81,7 @@
             guard_ms,
             seen: None,
             pending_since_ms: None,
+            doubtful: false,
             term: None,
             fenced: false,
         }
@@ -114,6 +117,7 @@
 
     fn take_claim(&mut self, now_ms: u64, entry: &LeaseEntry) {
         let sent = self.pending_since_ms.take();
+        self.doubtful = false;
         if !self.is_mine(entry) {
             self.term = None;
             return;
@@ -181,15 +185,19 @@
         Some(action)
     }
 
-    /// The last append had no effect, for certain.
+    /// The last append had no effect, for certain. An earlier one whose fate is unknown may still
+    /// be accepted, and a term must then count from when that one was sent.
     pub fn refused(&mut self) {
-        self.pending_since_ms = None;
+        if !self.doubtful {
+            self.pending_since_ms = None;
+        }
     }
 
     /// Nothing is known of the last append, and it may be sent again. Should it have been
     /// accepted, its term still counts from when the first was sent.
-    pub fn resend(&self, lease_ms: u64) -> Option<Action> {
+    pub fn resend(&mut self, lease_ms: u64) -> Option<Action> {
         self.pending_since_ms?;
+        self.doubtful = true;
         let seen = self.seen.as_ref();
         Some(Action::Claim {
             replaces: seen.map_or(0, |seen| seen.entry.claim),
--- a/flamingoscale/src/lease/tests.rs
+++ b/flamingoscale/src/lease/tests.rs
@@ -93,3 +93,19 @@
     assert_eq!(holder.term(31), None);
     assert!(is_claim(next.decide(30, LEASE_MS, 0, false)));
 }
+
+/// Found by fuzzing: a claim of unknown fate was sent again, that was refused for certain, and
+/// the next claim let the term of the first count from too late.
+#[test]
+fn a_refused_resend_does_not_settle_the_first_claim() {
+    let mut holder = lease("a");
+    assert!(is_claim(holder.decide(0, LEASE_MS, 0, false)));
+    assert!(is_claim(holder.resend(LEASE_MS)));
+    holder.refused();
+    assert_eq!(holder.decide(8_000, LEASE_MS, 0, false), None);
+    assert!(is_claim(holder.resend(LEASE_MS)));
+    holder.observe(9_000, Some(&entry("a", 5, 5)));
+    assert_eq!(holder.term(9_999).map(|term| term.claim), Some(5));
+    assert_eq!(holder.term(10_000), None);
+    assert!(is_claim(holder.decide(10_000, LEASE_MS, 0, false)));
+}
