Tell the orders' policy of callers, samples and the deadlines of open steps

Homes say how many requests run or wait by service, the coordinator how many slots its open steps need to be whole in time. Both go on a board of the instance, which the orders controller reads.

--- a/flamingoscale/src/demand.rs
+++ b/flamingoscale/src/demand.rs
@@ -56,12 +56,9 @@
 }
 
 impl DemandBoard {
-    /// Sets how many requests of callers, and how many samples, run or wait here for a service.
-    pub fn set_requests(&self, service: &Arc<str>, interactive: u32, rollouts: u32) {
-        let mut inner = self.lock();
-        inner
-            .requests
-            .insert(service.clone(), (interactive, rollouts));
+    /// Sets how many requests of callers, and how many samples, run or wait here by service.
+    pub fn set_requests(&self, requests: BTreeMap<Arc<str>, (u32, u32)>) {
+        self.lock().requests = requests;
     }
 
     /// Sets how many slots of a service a trainer's open steps need; 0 once they are whole.
@@ -122,7 +119,7 @@
         let service: Arc<str> = "drafting".into();
         board.set_due(&"a".into(), &service, 3);
         board.set_due(&"b".into(), &service, 4);
-        board.set_requests(&service, 2, 50);
+        board.set_requests(BTreeMap::from([(service.clone(), (2, 50))]));
         assert_eq!(board.loads()[&service].slots(), 9);
         board.set_due(&"a".into(), &service, 0);
         board.set_due(&"b".into(), &service, 0);
--- a/flamingoscale/src/dispatch/dispatcher.rs
+++ b/flamingoscale/src/dispatch/dispatcher.rs
@@ -92,6 +92,7 @@
         let reading: Rc<RefCell<HashSet<EndpointKey>>> = Rc::default();
         loop {
             self.routes();
+            self.instance.demand.set_requests(self.desk.loads());
             for (key, address) in self.desk.targets() {
                 if reading.borrow_mut().insert(key) {
                     let (me, reading) = (self.clone(), reading.clone());
--- a/flamingoscale/src/home/desk.rs
+++ b/flamingoscale/src/home/desk.rs
@@ -1,7 +1,10 @@
 //! The shared side of [`HomeTable`]: requests wait here for their place at an endpoint.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
     future::Future,
     sync::{
         atomic::{
@@ -123,6 +126,11 @@
         self.with(|inner| (inner.table.at_home(), Vec::new()))
     }
 
+    /// Requests of callers, and samples, that run or wait here, by service.
+    pub(crate) fn loads(&self) -> BTreeMap<Arc<str>, (u32, u32)> {
+        self.with(|inner| (inner.table.loads(), Vec::new()))
+    }
+
     pub(crate) fn facts(&self, endpoint: EndpointKey) -> Option<HomeFacts> {
         self.with(|inner| (inner.table.facts(endpoint), Vec::new()))
     }
--- a/flamingoscale/src/home/table.rs
+++ b/flamingoscale/src/home/table.rs
@@ -191,6 +191,21 @@
         slots.map(|(key, _)| *key).collect()
     }
 
+    /// Requests of callers, and samples, that run or wait here, by service.
+    pub fn loads(&self) -> BTreeMap<Arc<str>, (u32, u32)> {
+        let mut loads: BTreeMap<Arc<str>, (u32, u32)> = BTreeMap::new();
+        for slot in self.slots.values() {
+            let load = loads.entry(slot.target.service.clone()).or_default();
+            for offer in slot.running.values().chain(slot.waiting.values()) {
+                match offer.flow.rollout {
+                    false => load.0 += 1,
+                    true => load.1 += 1,
+                }
+            }
+        }
+        loads
+    }
+
     /// What is known of an endpoint at home.
     pub fn facts(&self, endpoint: EndpointKey) -> Option<HomeFacts> {
         let slot = self.slots.get(&endpoint).filter(|slot| slot.at_home)?;
--- a/flamingoscale/src/rollout/core.rs
+++ b/flamingoscale/src/rollout/core.rs
@@ -37,6 +37,7 @@
     }, //
 };
 
+mod demand;
 mod limits;
 mod second;
 mod tries;
--- /dev/null
+++ b/flamingoscale/src/rollout/core/demand.rs
@@ -0,0 +1,29 @@
+//! What open steps ask of their endpoints, for the orders that follow it.
+
+use super::*;
+use crate::demand::due_slots;
+
+impl Core {
+    /// The slots by which each trainer's open steps would be whole in time; 0 for a trainer
+    /// without any.
+    pub(crate) fn demand(&self, now_ms: u64) -> Vec<(Arc<str>, u32)> {
+        let trainers = self.trainers.iter();
+        trainers
+            .map(|(name, state)| (name.clone(), self.trainer_slots(state, now_ms)))
+            .collect()
+    }
+
+    fn trainer_slots(&self, state: &TrainerState, now_ms: u64) -> u32 {
+        let sample_ms = state.pace.usual_sample_ms();
+        let steps = state.steps.iter();
+        let steps = steps.filter_map(|&key| self.steps.get(key));
+        let drawing = steps.filter(|step| matches!(step.phase, Phase::Drawing));
+        drawing
+            .map(|step| {
+                let due_ms = step.opened_ms + step.contents.deadline_ms;
+                let left_ms = due_ms.saturating_sub(now_ms);
+                due_slots(step.expected() - step.full, sample_ms, left_ms)
+            })
+            .sum()
+    }
+}
--- a/flamingoscale/src/rollout/core/second.rs
+++ b/flamingoscale/src/rollout/core/second.rs
@@ -14,6 +14,9 @@
 /// A try is not judged before it ran this long.
 const JUDGED_AFTER_MS: u64 = 2_000;
 
+/// How long a sample is expected to take before the first is through.
+const FIRST_SAMPLE_MS: u64 = 10_000;
+
 /// Weight of the newest observation in a running mean.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -37,6 +40,15 @@
         mean(&mut self.tokens_per_ms, f64::from(tokens) / took_ms);
     }
 
+    /// How long a sample usually takes; a guess before the first is through.
+    pub(super) fn usual_sample_ms(&self) -> u64 {
+        if self.sample_ms > 0.0 {
+            self.sample_ms as u64
+        } else {
+            FIRST_SAMPLE_MS
+        }
+    }
+
     /// Takes in the newest version.
     pub(super) fn saw_version(&mut self, version: u64, now_ms: u64) {
         if version <= self.version {
--- a/flamingoscale/src/rollout/driver.rs
+++ b/flamingoscale/src/rollout/driver.rs
@@ -163,6 +163,18 @@
             holder.wake.notify_one();
         }
         self.publish_costs();
+        self.publish_demand();
+    }
+
+    /// Says what the open steps ask of their services' endpoints.
+    fn publish_demand(&self) {
+        let instance = self.instance();
+        let view = instance.view.load();
+        for (trainer, slots) in self.core.borrow().demand(instance.now_ms()) {
+            if let Some(found) = view.configuration.trainer(&trainer) {
+                instance.demand.set_due(&trainer, &found.service, slots);
+            }
+        }
     }
 
     fn publish_costs(&self) {
