--- a/flamingoscale/src/log.rs
+++ b/flamingoscale/src/log.rs
@@ -36,7 +36,7 @@
 
 mod absorb;
 mod actor;
-mod append;
+pub(crate) mod append;
 mod buffer;
 mod denials;
 mod events;
--- a/flamingoscale/src/log/absorb.rs
+++ b/flamingoscale/src/log/absorb.rs
@@ -136,20 +136,19 @@
         true
     }
 
-    /// Looks for a whole snapshot among records that can't be folded, as others before are gone.
-    pub(crate) fn scan(&mut self, records: &[(u64, Bytes)], earliest: u64) -> Option<State> {
-        let mut newest: Option<State> = None;
+    /// Looks for snapshots among records that can't be folded, as others before are gone.
+    pub(crate) fn scan(&mut self, records: &[(u64, Bytes)]) {
         for (_, data) in records {
-            let Ok(envelope) = record::decode(data) else {
-                continue;
-            };
-            let Some(chunk) = snapshot_chunk(envelope.record) else {
-                continue;
-            };
-            let found = self.follower.scanned_chunk(chunk);
-            newest = found.filter(|state| state.folded >= earliest).or(newest);
+            match record::decode(data) {
+                Ok(envelope) => {
+                    if let Some(chunk) = snapshot_chunk(envelope.record) {
+                        self.follower.scanned_chunk(chunk);
+                    }
+                }
+                Err(RecordError::Newer { .. }) => self.follower.scanned_newer(),
+                Err(_) => {}
+            }
         }
-        newest
     }
 }
 
--- a/flamingoscale/src/log/actor.rs
+++ b/flamingoscale/src/log/actor.rs
@@ -33,6 +33,7 @@
         denials::Denials,
         follower::{
             Follower,
+            ScanStep,
             Source, //
         },
         freshness::Freshness,
@@ -60,7 +61,7 @@
 };
 
 /// Pause between two looks at what is due.
-const TICK_MS: u64 = 20;
+const TICK_MS: u64 = 25;
 
 /// How long a submission waits until it is read back.
 const SUBMIT_WAIT_MS: u64 = 4_000;
@@ -98,6 +99,7 @@
     /// The earliest offset that the log kept when it was last read.
     pub(crate) earliest: u64,
     was_fresh: bool,
+    last_members: Arc<Vec<Member>>,
     waiters: BTreeMap<Ticket, Waiter>,
 }
 
@@ -149,6 +151,7 @@
             next_poll_ms: 0,
             earliest: 0,
             was_fresh: false,
+            last_members: Arc::default(),
             waiters: BTreeMap::new(),
             context,
         }
@@ -170,7 +173,7 @@
         let now_ms = self.instance().now_ms();
         let expired = self.appender.expire(now_ms);
         self.settle(expired);
-        self.freshness.members(&self.members());
+        self.take_members();
         self.expire_pulls(now_ms);
         self.poll_standings(now_ms, actor);
         self.spread_denials(now_ms, actor);
@@ -180,6 +183,15 @@
         self.append_next(actor);
     }
 
+    /// Takes in a new list of members; most ticks see the one before.
+    fn take_members(&mut self) {
+        let members = self.members();
+        if !Arc::ptr_eq(&members, &self.last_members) {
+            self.freshness.members(&members);
+            self.last_members = members;
+        }
+    }
+
     fn submit(&mut self, record: Record, wait_ms: u64, waiter: Waiter) {
         let deadline_ms = self.instance().now_ms() + wait_ms;
         match self.appender.submit(record, deadline_ms) {
@@ -323,18 +335,17 @@
     }
 
     fn scan_read(&mut self, from: u64, earliest: u64, head: u64, records: &[(u64, Bytes)]) {
-        if let Some(state) = self.scan(records, earliest) {
-            let upto = state.folded;
-            if self.install(state, "log") {
-                self.seen_snapshot(upto);
-                self.follower.end_scan();
-                return;
-            }
-        }
+        self.scan(records);
         let now_ms = self.instance().now_ms();
         let next = from + records.len() as u64;
-        if self.follower.scanned(now_ms, next, head) {
-            self.found_no_snapshot(earliest);
+        match self.follower.scanned(now_ms, next, earliest, head) {
+            ScanStep::More => {}
+            ScanStep::Found(state) => {
+                self.seen_snapshot(state.folded);
+                self.install(*state, "log");
+                self.end_scan_if_caught_up();
+            }
+            ScanStep::InVain => self.found_no_snapshot(earliest),
         }
     }
 
@@ -363,7 +374,7 @@
             folded: self.folded(),
         };
         let can_write = self.is_at_head && !self.follower.is_failing();
-        if !can_write || self.follower.is_scanning() || !self.follower.is_relay(&members) {
+        if !can_write || self.follower.is_scanning() {
             return;
         }
         let id = self.instance().id().clone();
@@ -434,7 +445,9 @@
                 continue;
             }
             let key = xxhash_rust::xxh3::xxh3_64(key_id.as_bytes());
-            let turn = 1 + relays::turn(key, &members, &id) as u64;
+            // Those that are no relays come after all that may be.
+            let turn = relays::turn(key, &members, &id).unwrap_or(members.len());
+            let turn = 1 + turn as u64;
             let added = self
                 .denials
                 .add(key_id, false, now_ms + turn * DENIAL_TURN_MS);
--- a/flamingoscale/src/log/follower.rs
+++ b/flamingoscale/src/log/follower.rs
@@ -59,7 +59,23 @@
     next: u64,
     is_at_head: bool,
     asked: BTreeSet<Arc<str>>,
+    /// Whether a peer gave no answer that can be read since all were asked anew.
+    is_peer_unheard: bool,
+    /// Whether a record of a newer build was passed.
+    is_newer_seen: bool,
     assembler: Assembler,
+    newest: Option<Box<State>>,
+}
+
+/// How far the search for a snapshot is.
+#[derive(Debug)]
+pub(crate) enum ScanStep {
+    /// Read on.
+    More,
+    /// This is the newest state that the log has.
+    Found(Box<State>),
+    /// There is no snapshot, nor a peer that knows more.
+    InVain,
 }
 
 /// Chooses where to read, from what became of earlier reads.
@@ -208,6 +224,9 @@
 
     /// A peer did not answer.
     pub(crate) fn peer_failed(&mut self, now_ms: u64, peer: &Arc<str>) {
+        if let Some(scan) = &mut self.scan {
+            scan.is_peer_unheard = true;
+        }
         self.pause(now_ms, peer);
     }
 
@@ -238,27 +257,53 @@
         self.scan.is_some()
     }
 
-    /// Takes a chunk that was read while looking for a snapshot.
-    pub(crate) fn scanned_chunk(&mut self, chunk: Chunk) -> Option<State> {
-        self.scan.as_mut()?.assembler.add(chunk)
+    /// Takes a chunk that was read while looking for a snapshot. The newest one counts, not the
+    /// last: a slow writer may append an older one late.
+    pub(crate) fn scanned_chunk(&mut self, chunk: Chunk) {
+        let Some(scan) = &mut self.scan else {
+            return;
+        };
+        let Some(state) = scan.assembler.add(chunk) else {
+            return;
+        };
+        let known = scan.newest.as_ref().map_or(0, |newest| newest.folded);
+        if state.folded > known {
+            scan.newest = Some(Box::new(state));
+        }
     }
 
-    /// Everything before `next` was looked at; asks the peers once more at the head. Returns
-    /// whether the search has been in vain for long enough to conclude that there is no snapshot.
-    pub(crate) fn scanned(&mut self, now_ms: u64, next: u64, head: u64) -> bool {
+    /// Passed a record that only a newer build can read, so that the search can't be in vain.
+    pub(crate) fn scanned_newer(&mut self) {
+        if let Some(scan) = &mut self.scan {
+            scan.is_newer_seen = true;
+        }
+    }
+
+    /// Everything before `next` was looked at, in a log that begins at `earliest`. At the head,
+    /// asks the peers once more.
+    pub(crate) fn scanned(&mut self, now_ms: u64, next: u64, earliest: u64, head: u64) -> ScanStep {
         let Some(scan) = &mut self.scan else {
-            return false;
+            return ScanStep::More;
         };
         scan.next = next;
         scan.is_at_head = next >= head;
-        if scan.is_at_head {
-            scan.asked.clear();
+        if !scan.is_at_head {
+            return ScanStep::More;
         }
-        let is_in_vain = scan.is_at_head && now_ms >= scan.since_ms + SCAN_GRACE_MS;
-        if is_in_vain {
-            scan.since_ms = now_ms;
+        // Records between a snapshot and the earliest one that is kept could not be folded.
+        let usable = scan.newest.take().filter(|state| state.folded >= earliest);
+        if let Some(state) = usable {
+            return ScanStep::Found(state);
         }
-        is_in_vain
+        scan.asked.clear();
+        let is_unheard = std::mem::take(&mut scan.is_peer_unheard);
+        let is_unreadable = scan.is_newer_seen || scan.assembler.has_unreadable();
+        let is_over = now_ms >= scan.since_ms + SCAN_GRACE_MS;
+        if !is_over || is_unheard || is_unreadable {
+            return ScanStep::More;
+        }
+        scan.since_ms = now_ms;
+        ScanStep::InVain
     }
 
     /// The missing records are made up for.
@@ -270,6 +315,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::state::snapshot;
 
     fn members(count: usize) -> Vec<Member> {
         let member = |index| Member {
@@ -345,7 +391,49 @@
         assert_eq!(asked(&follower.next(0, &members, 0)), Some("n2".into()));
         let source = follower.next(0, &members, 0);
         assert!(matches!(source, Source::Log { from: 40, .. }));
-        assert!(!follower.scanned(1, 50, 50));
-        assert!(follower.scanned(SCAN_GRACE_MS, 50, 50));
+        let early = follower.scanned(1, 50, 40, 50);
+        assert!(matches!(early, ScanStep::More));
+        let late = follower.scanned(SCAN_GRACE_MS, 50, 40, 50);
+        assert!(matches!(late, ScanStep::InVain));
+    }
+
+    #[test]
+    fn a_search_is_not_in_vain_while_a_peer_or_a_newer_build_may_know_more() {
+        let members = members(2);
+        let mut follower = Follower::new("n0".into(), "saiq".into());
+        follower.truncated(0, 40);
+        follower.peer_failed(0, &members[1].instance);
+        let unheard = follower.scanned(SCAN_GRACE_MS, 50, 40, 50);
+        assert!(matches!(unheard, ScanStep::More));
+        follower.scanned_newer();
+        let unreadable = follower.scanned(SCAN_GRACE_MS, 50, 40, 50);
+        assert!(matches!(unreadable, ScanStep::More));
+    }
+
+    #[test]
+    fn the_newest_snapshot_counts_and_one_before_the_kept_records_does_not() {
+        let mut follower = Follower::new("n0".into(), "saiq".into());
+        follower.truncated(0, 40);
+        for folded in [45, 48, 41] {
+            let state = State {
+                folded,
+                ..State::default()
+            };
+            for chunk in snapshot::chunks(&state) {
+                follower.scanned_chunk(chunk);
+            }
+        }
+        let ScanStep::Found(state) = follower.scanned(1, 60, 47, 60) else {
+            panic!("a usable snapshot was read");
+        };
+        assert_eq!(state.folded, 48);
+        let old = State {
+            folded: 50,
+            ..State::default()
+        };
+        for chunk in snapshot::chunks(&old) {
+            follower.scanned_chunk(chunk);
+        }
+        assert!(matches!(follower.scanned(2, 60, 51, 60), ScanStep::More));
     }
 }
--- a/flamingoscale/src/log/relays.rs
+++ b/flamingoscale/src/log/relays.rs
@@ -40,16 +40,23 @@
     relays.is_empty() || relays.iter().any(|relay| relay.instance == *instance)
 }
 
-/// The instance's turn to do what one of the relays should do; 0 is first.
-pub(crate) fn turn(key: u64, members: &[Member], instance: &Arc<str>) -> usize {
+/// The instance's turn to do what one of the relays should do; 0 is first. One that is not a
+/// relay has none, unless members are unknown.
+pub(crate) fn turn(key: u64, members: &[Member], instance: &Arc<str>) -> Option<usize> {
+    if members.is_empty() {
+        return Some(0);
+    }
+    let own = members.iter().find(|member| member.instance == *instance)?;
+    if !is_relay(members, instance, &own.failure_domain) {
+        return None;
+    }
     let candidates = members
         .iter()
         .filter(|member| is_relay(members, &member.instance, &member.failure_domain));
     let ordered = by_rendezvous(key, candidates);
-    let own = ordered
+    ordered
         .iter()
-        .position(|member| member.instance == *instance);
-    own.unwrap_or(ordered.len())
+        .position(|member| member.instance == *instance)
 }
 
 #[cfg(test)]
@@ -91,7 +98,7 @@
             .collect();
         let mut turns: Vec<usize> = relays(&members, "saiq")
             .iter()
-            .map(|relay| turn(5, &members, &relay.instance))
+            .filter_map(|relay| turn(5, &members, &relay.instance))
             .collect();
         turns.sort_unstable();
         assert_eq!(turns, [0, 1]);
--- a/flamingoscale/src/log/serve.rs
+++ b/flamingoscale/src/log/serve.rs
@@ -209,7 +209,8 @@
         self.freshness.peer(asked_ms, folded, &standing);
     }
 
-    fn end_scan_if_caught_up(&mut self) {
+    /// Ends the search for a snapshot once the log has all that is missing here.
+    pub(crate) fn end_scan_if_caught_up(&mut self) {
         if self.follower.is_scanning() && self.folded() >= self.earliest {
             self.follower.end_scan();
         }
--- a/flamingoscale/src/log/snapshots.rs
+++ b/flamingoscale/src/log/snapshots.rs
@@ -52,17 +52,20 @@
         &mut self,
         now_ms: u64,
         bounds: LogBounds,
-        turn: impl FnOnce() -> usize,
+        turn: impl FnOnce() -> Option<usize>,
     ) -> bool {
         if !self.is_wanted(now_ms, bounds) {
             self.wanted_ms = None;
             return false;
         }
         let wanted_ms = *self.wanted_ms.get_or_insert(now_ms);
+        let Some(turn) = turn() else {
+            return false;
+        };
         let paused_until_ms = self
             .written_ms
             .map_or(0, |written_ms| written_ms + PAUSE_MS);
-        let is_due = now_ms >= (wanted_ms + turn() as u64 * TURN_MS).max(paused_until_ms);
+        let is_due = now_ms >= (wanted_ms + turn as u64 * TURN_MS).max(paused_until_ms);
         if is_due {
             self.written_ms = Some(now_ms);
         }
@@ -120,8 +123,8 @@
     fn a_snapshot_in_the_older_half_of_the_log_is_replaced() {
         let mut policy = SnapshotPolicy::default();
         policy.seen(100, 0);
-        assert!(!policy.is_due(1, bounds(50, 140), || 0));
-        assert!(policy.is_due(2, bounds(80, 140), || 0));
+        assert!(!policy.is_due(1, bounds(50, 140), || Some(0)));
+        assert!(policy.is_due(2, bounds(80, 140), || Some(0)));
     }
 
     #[test]
@@ -129,19 +132,19 @@
         let mut policy = SnapshotPolicy::default();
         policy.seen(100, 0);
         policy.log_away();
-        assert!(!policy.is_due(1_000, bounds(0, 101), || 1));
-        assert!(policy.is_due(1_000 + TURN_MS, bounds(0, 101), || 1));
+        assert!(!policy.is_due(1_000, bounds(0, 101), || Some(1)));
+        assert!(policy.is_due(1_000 + TURN_MS, bounds(0, 101), || Some(1)));
         policy.seen(101, 2_500);
-        assert!(!policy.is_due(2_600, bounds(0, 101), || 0));
+        assert!(!policy.is_due(2_600, bounds(0, 101), || Some(0)));
     }
 
     #[test]
     fn a_writer_pauses_and_tries_again_if_its_snapshot_is_not_seen() {
         let mut policy = SnapshotPolicy::default();
         let full = bounds(0, EVERY_RECORDS);
-        assert!(policy.is_due(0, full, || 0));
-        assert!(!policy.is_due(1, full, || 0));
-        assert!(policy.is_due(PAUSE_MS, full, || 0));
+        assert!(policy.is_due(0, full, || Some(0)));
+        assert!(!policy.is_due(1, full, || Some(0)));
+        assert!(policy.is_due(PAUSE_MS, full, || Some(0)));
     }
 
     #[test]
--- a/flamingoscale/src/state.rs
+++ b/flamingoscale/src/state.rs
@@ -40,6 +40,8 @@
 };
 
 mod endpoints;
+#[cfg(test)]
+mod properties;
 mod sequences;
 pub(crate) mod snapshot;
 
--- /dev/null
+++ b/flamingoscale/src/state/properties.rs
@@ -0,0 +1,444 @@
+//! Properties of the fold over random histories: writers that race, calls whose effect is lost,
+//! late or doubled, instances that read in any chunks and start from snapshots.
+
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use bytes::Bytes;
+use proptest::{
+    collection::vec,
+    prelude::*,
+    test_runner::RngSeed, //
+};
+
+use super::{
+    snapshot,
+    Rejection,
+    State,
+    SubmitError, //
+};
+use crate::{
+    configuration::Configuration,
+    log::append::{
+        Appender,
+        Settled,
+        Ticket, //
+    },
+    platform::PlatformError,
+    record::{
+        self,
+        Record, //
+    }, //
+};
+
+/// Random histories of one run of each property.
+const CASES: u32 = 300;
+
+const WRITERS: usize = 3;
+
+/// Time that passes between two steps.
+const STEP_MS: u64 = 200;
+
+/// How long a submission waits.
+const WAIT_MS: u64 = 1_500;
+
+/// What becomes of one append call.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Done,
+    Refused,
+    /// It took effect; its answer was lost.
+    AnswerLost,
+    /// It takes effect only some steps later, if ever; its answer was lost.
+    Delayed(u8),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Configure(usize),
+    Grant(usize, u8),
+    Withdraw(usize, u8),
+    Claim(usize),
+    Call(usize, Fate),
+    /// A writer reads up to the head and tells its submitters.
+    Read(usize),
+    /// A writer's process is replaced.
+    Restart(usize),
+    Junk,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        4 => Just(Fate::Done),
+        1 => Just(Fate::Refused),
+        2 => Just(Fate::AnswerLost),
+        2 => (0..20_u8).prop_map(Fate::Delayed),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let writer = 0..WRITERS;
+    prop_oneof![
+        2 => writer.clone().prop_map(Step::Configure),
+        1 => (writer.clone(), 0..6_u8).prop_map(|(writer, key)| Step::Grant(writer, key)),
+        1 => (writer.clone(), 0..6_u8).prop_map(|(writer, key)| Step::Withdraw(writer, key)),
+        1 => writer.clone().prop_map(Step::Claim),
+        6 => (writer.clone(), fate()).prop_map(|(writer, fate)| Step::Call(writer, fate)),
+        3 => writer.clone().prop_map(Step::Read),
+        1 => writer.prop_map(Step::Restart),
+        1 => Just(Step::Junk),
+    ]
+}
+
+struct Writer {
+    name: String,
+    incarnation: u64,
+    appender: Appender,
+    state: State,
+}
+
+/// What the submitters were told.
+type Told = BTreeMap<(String, u64, Ticket), Result<u64, SubmitError>>;
+
+/// A log, its writers, and calls that have not taken effect yet.
+struct World {
+    log: Vec<Bytes>,
+    delayed: Vec<(usize, Vec<Bytes>)>,
+    writers: Vec<Writer>,
+    told: Told,
+    /// The text of each submitted configuration; no two are equal.
+    texts: BTreeMap<(String, u64, Ticket), String>,
+    now_ms: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let writer = |index| Writer {
+            name: format!("n{index}"),
+            incarnation: 1,
+            appender: Appender::new(format!("n{index}").into(), 1),
+            state: State::default(),
+        };
+        Self {
+            log: Vec::new(),
+            delayed: Vec::new(),
+            writers: (0..WRITERS).map(writer).collect(),
+            told: Told::new(),
+            texts: BTreeMap::new(),
+            now_ms: 0,
+        }
+    }
+
+    fn run(steps: &[Step]) -> Self {
+        let mut world = Self::new();
+        for (number, step) in steps.iter().enumerate() {
+            world.now_ms += STEP_MS;
+            world.arrive(number);
+            world.step(number, *step);
+            world.expire();
+        }
+        world.arrive(usize::MAX);
+        world
+    }
+
+    /// Delayed calls take effect behind everything that was appended meanwhile.
+    fn arrive(&mut self, number: usize) {
+        let (due, waiting) = std::mem::take(&mut self.delayed)
+            .into_iter()
+            .partition(|(at, _)| *at <= number);
+        self.delayed = waiting;
+        let due: Vec<(usize, Vec<Bytes>)> = due;
+        self.log
+            .extend(due.into_iter().flat_map(|(_, records)| records));
+    }
+
+    fn step(&mut self, number: usize, step: Step) {
+        match step {
+            Step::Configure(writer) => self.configure(writer, number),
+            Step::Grant(writer, key) => {
+                self.submit(writer, granted(key));
+            }
+            Step::Withdraw(writer, key) => {
+                self.submit(writer, withdrawn(key));
+            }
+            Step::Claim(writer) => self.claim(writer),
+            Step::Call(writer, fate) => self.call(writer, fate, number),
+            Step::Read(writer) => self.read(writer),
+            Step::Restart(writer) => self.restart(writer),
+            Step::Junk => self.log.push(Bytes::from_static(b"junk")),
+        }
+    }
+
+    fn configure(&mut self, writer: usize, number: usize) {
+        let base_revision = self.writers[writer].state.revision;
+        let text = format!("{number}");
+        let record = Record::Configuration {
+            base_revision,
+            text: text.as_str().into(),
+            configuration: Configuration::default().into(),
+        };
+        let ticket = self.submit(writer, record);
+        let writer = &self.writers[writer];
+        let name = (writer.name.clone(), writer.incarnation, ticket);
+        self.texts.insert(name, text);
+    }
+
+    fn claim(&mut self, writer: usize) {
+        let known = &self.writers[writer].state;
+        let replaces = known.leases.get("orders/x").map_or(0, |entry| entry.claim);
+        let record = Record::LeaseClaim {
+            lease: "orders/x".into(),
+            replaces,
+            lease_ms: 1_000,
+        };
+        self.submit(writer, record);
+    }
+
+    fn submit(&mut self, writer: usize, record: Record) -> Ticket {
+        let deadline_ms = self.now_ms + WAIT_MS;
+        let submitted = self.writers[writer].appender.submit(record, deadline_ms);
+        submitted.expect("the records are small")
+    }
+
+    /// Whether a configuration with this text is anywhere in the log, in force or not. The one at
+    /// the first offset, which numbers nothing, does not count, nor do further copies of it: the
+    /// fold drops them all.
+    fn holds(&self, wanted: &str) -> bool {
+        let has_text = |bytes: &Bytes| {
+            let envelope = record::decode(bytes);
+            envelope.is_ok_and(|envelope| match envelope.record {
+                Record::Configuration { text, .. } => &*text == wanted,
+                _ => false,
+            })
+        };
+        let is_first = self.log.first().is_some_and(has_text);
+        !is_first && self.log.iter().any(has_text)
+    }
+
+    fn call(&mut self, writer: usize, fate: Fate, number: usize) {
+        let appender = &mut self.writers[writer].appender;
+        let Some(records) = appender.next_call(self.now_ms, 1) else {
+            return;
+        };
+        let first = self.log.len() as u64;
+        let reason = "".into();
+        let result = match fate {
+            Fate::Done => Ok(first),
+            Fate::Refused => Err(PlatformError::Refused { reason }),
+            Fate::AnswerLost | Fate::Delayed(_) => Err(PlatformError::Unknown { reason }),
+        };
+        match fate {
+            Fate::Done | Fate::AnswerLost => self.log.extend(records),
+            Fate::Delayed(steps) => self.delayed.push((number + steps as usize, records)),
+            Fate::Refused => {}
+        }
+        appender.answered(&result, self.now_ms);
+    }
+
+    fn read(&mut self, index: usize) {
+        let writer = &mut self.writers[index];
+        let mut settled = Vec::new();
+        for offset in writer.state.folded..self.log.len() as u64 {
+            let folded = fold(&mut writer.state, offset, &self.log[offset as usize]);
+            let Some((serial, incarnation, name, result)) = folded else {
+                continue;
+            };
+            if name == writer.name && incarnation == writer.incarnation {
+                settled.extend(writer.appender.folded(serial, result.map(|()| offset)));
+            }
+        }
+        self.tell(index, settled);
+    }
+
+    fn expire(&mut self) {
+        for index in 0..self.writers.len() {
+            let expired = self.writers[index].appender.expire(self.now_ms);
+            self.tell(index, expired);
+        }
+    }
+
+    fn tell(&mut self, index: usize, settled: Vec<Settled>) {
+        let writer = &self.writers[index];
+        for (ticket, result) in settled {
+            let name = (writer.name.clone(), writer.incarnation, ticket);
+            let before = self.told.insert(name, result);
+            assert!(before.is_none(), "a submitter was told twice");
+        }
+    }
+
+    fn restart(&mut self, index: usize) {
+        let writer = &mut self.writers[index];
+        writer.incarnation += 1;
+        writer.appender = Appender::new(writer.name.as_str().into(), writer.incarnation);
+        writer.state = State::default();
+    }
+
+    /// The state of an instance that reads the whole log.
+    fn whole(&self) -> State {
+        let mut state = State::default();
+        for (offset, bytes) in self.log.iter().enumerate() {
+            fold(&mut state, offset as u64, bytes);
+        }
+        state
+    }
+}
+
+type Folded = (u64, u64, String, Result<(), Rejection>);
+
+fn fold(state: &mut State, offset: u64, bytes: &[u8]) -> Option<Folded> {
+    let Ok(envelope) = record::decode(bytes) else {
+        state.skip(offset);
+        return None;
+    };
+    let result = state.fold(offset, &envelope);
+    let name = envelope.writer.to_string();
+    Some((envelope.serial, envelope.incarnation, name, result))
+}
+
+fn granted(key: u8) -> Record {
+    Record::KeyGranted {
+        key_id: format!("fk-{key}").into(),
+        digest: [key; 32],
+        organisation: "lodges".into(),
+    }
+}
+
+fn withdrawn(key: u8) -> Record {
+    Record::KeyWithdrawn {
+        key_id: format!("fk-{key}").into(),
+    }
+}
+
+fn config(seed: u64) -> ProptestConfig {
+    ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn restored(state: &State) -> State {
+    let mut assembler = snapshot::Assembler::default();
+    let chunks = snapshot::chunks(state).into_iter();
+    let mut whole = chunks.filter_map(|chunk| assembler.add(chunk));
+    whole.next().expect("a snapshot can be read back")
+}
+
+proptest! {
+    #![proptest_config(config(41))]
+
+    #[test]
+    fn the_same_records_give_the_same_state_from_any_snapshot(
+        steps in vec(step(), 1..120),
+        cuts in vec(0..120_usize, 0..4),
+    ) {
+        let world = World::run(&steps);
+        let whole = world.whole();
+        let cuts: BTreeSet<usize> = cuts.into_iter().collect();
+        let mut state = State::default();
+        for (offset, bytes) in world.log.iter().enumerate() {
+            if cuts.contains(&offset) {
+                state = restored(&state);
+            }
+            fold(&mut state, offset as u64, bytes);
+        }
+        prop_assert_eq!(&state, &whole);
+        prop_assert_eq!(snapshot::chunks(&state), snapshot::chunks(&whole));
+    }
+}
+
+proptest! {
+    #![proptest_config(config(42))]
+
+    #[test]
+    fn what_submitters_are_told_is_true(steps in vec(step(), 1..160)) {
+        let world = World::run(&steps);
+        let mut accepted = BTreeMap::new();
+        let mut in_force = BTreeSet::new();
+        let mut state = State::default();
+        for (offset, bytes) in world.log.iter().enumerate() {
+            let Some((serial, incarnation, name, result)) =
+                fold(&mut state, offset as u64, bytes) else { continue };
+            in_force.insert(state.text.to_string());
+            if result.is_ok() {
+                let before = accepted.insert((name, incarnation, serial), offset as u64);
+                prop_assert!(before.is_none(), "a record took effect twice");
+            }
+        }
+        for (name, text) in &world.texts {
+            if world.told.get(name) == Some(&Err(SubmitError::LogAway)) {
+                prop_assert!(!world.holds(text), "told as not appended, but it is");
+                prop_assert!(!in_force.contains(text.as_str()), "told as away, but in force");
+            }
+        }
+        for ((name, incarnation, _), result) in &world.told {
+            if let Ok(offset) = result {
+                let is_accepted = accepted.iter().any(|((writer, life, _), at)| {
+                    writer == name && life == incarnation && at == offset
+                });
+                prop_assert!(is_accepted, "told as accepted, but it is not");
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(43))]
+
+    #[test]
+    fn configurations_follow_each_other_and_withdrawn_keys_stay_withdrawn(
+        steps in vec(step(), 1..160),
+    ) {
+        let world = World::run(&steps);
+        let mut state = State::default();
+        let mut gone = BTreeSet::new();
+        let mut replaced = BTreeSet::new();
+        for (offset, bytes) in world.log.iter().enumerate() {
+            let before = state.revision;
+            let folded = fold(&mut state, offset as u64, bytes);
+            prop_assert!(state.revision >= before, "a configuration reverted");
+            if let Ok(envelope) = record::decode(bytes) {
+                let is_accepted = folded.is_some_and(|(.., result)| result.is_ok());
+                if let (Record::Configuration { base_revision, .. }, true) =
+                    (&envelope.record, is_accepted)
+                {
+                    prop_assert!(replaced.insert(*base_revision), "one race, two winners");
+                }
+            }
+            for entry in state.keys.iter().filter(|entry| entry.withdrawn) {
+                gone.insert(entry.key_id.clone());
+            }
+            prop_assert!(gone.iter().all(|key_id| !state.keys.is_in_force(key_id)));
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(config(44))]
+
+    #[test]
+    fn every_submission_that_is_tried_long_enough_takes_effect_once(
+        steps in vec(step(), 1..60),
+    ) {
+        let mut world = World::run(&steps);
+        for writer in 0..WRITERS {
+            world.submit(writer, granted(100 + writer as u8));
+        }
+        for number in 0..40 {
+            world.now_ms += STEP_MS;
+            // The first calls are lost for good, and so are their answers.
+            let fate = if number < 10 { Fate::Delayed(u8::MAX) } else { Fate::Done };
+            for writer in 0..WRITERS {
+                world.call(writer, fate, number);
+            }
+        }
+        let state = world.whole();
+        for writer in 0..WRITERS {
+            let key = format!("fk-{}", 100 + writer);
+            prop_assert!(state.keys.is_in_force(&key), "the grant of {writer} was lost");
+        }
+    }
+}
--- a/flamingoscale/src/state/snapshot.rs
+++ b/flamingoscale/src/state/snapshot.rs
@@ -96,6 +96,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Assembler {
     partial: BTreeMap<(u64, u64), Partial>,
+    has_unreadable: bool,
 }
 
 impl Assembler {
@@ -113,8 +114,17 @@
             return None;
         }
         let whole = self.partial.remove(&name)?.whole();
-        let state = (xxh3_64(&whole) == chunk.digest).then(|| decode(&whole))??;
-        (state.folded == chunk.upto).then_some(state)
+        if xxh3_64(&whole) != chunk.digest {
+            return None;
+        }
+        let state = decode(&whole).filter(|state| state.folded == chunk.upto);
+        self.has_unreadable |= state.is_none();
+        state
+    }
+
+    /// Whether a snapshot was whole and undamaged, but of an encoding that this build can't read.
+    pub(crate) fn has_unreadable(&self) -> bool {
+        self.has_unreadable
     }
 
     fn forget_oldest(&mut self) {
