--- /dev/null
+++ b/flamingoscale/src/dispatch/dispatcher.rs
@@ -0,0 +1,253 @@
+//! The dispatcher: routes, homes and peers put together.
+
+use std::{
+    cell::RefCell,
+    collections::HashSet,
+    rc::Rc,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        Weak, //
+    },
+    time::Duration, //
+};
+
+use arc_swap::ArcSwap;
+
+use crate::{
+    dispatch::{
+        Dispatch,
+        Message,
+        Work,
+        WorkEvent,
+        WorkStream, //
+    },
+    engine::{
+        http::HttpEngineControl,
+        EngineControl as _, //
+    },
+    gateway::{
+        self,
+        quarantine::QuarantineTable, //
+    },
+    home::{
+        desk::Desk,
+        table::SlotTarget,
+        HomeFacts,
+        Homes, //
+    },
+    instance::Instance,
+    peer::{
+        PeerHandler,
+        PeerReply,
+        PeerRequest,
+        ReplySender, //
+    },
+    routing::{
+        retry::RetryBudget,
+        table::RouteTable, //
+    },
+    view::EndpointKey, //
+};
+
+/// Time between two readings of an endpoint's status by its home.
+const STATUS_PERIOD: Duration = Duration::from_millis(200);
+
+/// Runs work: as an entry for callers and trainers, as a home for endpoints.
+pub struct Dispatcher {
+    pub(crate) instance: Arc<Instance>,
+    pub(crate) desk: Arc<Desk>,
+    pub(crate) quarantine: Arc<QuarantineTable>,
+    retry_budget: Mutex<RetryBudget>,
+    routes: ArcSwap<RouteTable>,
+    building: Mutex<()>,
+    pub(crate) me: Weak<Dispatcher>,
+}
+
+impl Dispatcher {
+    /// A dispatcher without routes; they follow the instance's view.
+    pub fn new(instance: Arc<Instance>) -> Arc<Self> {
+        Arc::new_cyclic(|me: &Weak<Self>| {
+            let reporter = me.clone();
+            let on_crash = Box::new(move |endpoint, fingerprints: &[u64]| {
+                if let Some(me) = reporter.upgrade() {
+                    me.crashed(endpoint, fingerprints);
+                }
+            });
+            Self {
+                desk: Desk::new(instance.clone(), on_crash),
+                instance,
+                quarantine: Arc::default(),
+                retry_budget: Mutex::default(),
+                routes: ArcSwap::default(),
+                building: Mutex::default(),
+                me: me.clone(),
+            }
+        })
+    }
+
+    /// Reads the status of the endpoints at home, for ever.
+    pub async fn watch(self: Arc<Self>) {
+        let reading: Rc<RefCell<HashSet<EndpointKey>>> = Rc::default();
+        loop {
+            self.routes();
+            for (key, address) in self.desk.targets() {
+                if reading.borrow_mut().insert(key) {
+                    let (me, reading) = (self.clone(), reading.clone());
+                    actix_rt::spawn(async move {
+                        me.read_status(key, &address).await;
+                        reading.borrow_mut().remove(&key);
+                    });
+                }
+            }
+            tokio::time::sleep(STATUS_PERIOD).await;
+        }
+    }
+
+    /// Reads one endpoint's status now.
+    pub(crate) async fn read_status(&self, key: EndpointKey, address: &str) {
+        let read = async { HttpEngineControl.status(address).await.ok() };
+        self.desk.refresh(key, read).await;
+    }
+
+    /// The routes of the present view.
+    pub(crate) fn routes(&self) -> Arc<RouteTable> {
+        let view = self.instance.view.load();
+        let routes = self.routes.load_full();
+        if routes.fits(&view) {
+            return routes;
+        }
+        // One thread builds; the others go on with the routes from before.
+        let Ok(_building) = self.building.try_lock() else {
+            return routes;
+        };
+        let built = Arc::new(RouteTable::build(&view, &self.routes.load()));
+        self.desk.sync(self.targets(&built));
+        self.routes.store(built.clone());
+        built
+    }
+
+    /// Counts a crash against what was in flight, here and at all members.
+    fn crashed(&self, endpoint: EndpointKey, fingerprints: &[u64]) {
+        let count = fingerprints.len();
+        let fields: [(&str, &dyn std::fmt::Display); 2] =
+            [("endpoint", &endpoint.0), ("in_flight", &count)];
+        let line = &self.instance.timeline;
+        line.record("home.endpoint_crashed", "", &fields);
+        let now_ms = self.instance.now_ms();
+        for &fingerprint in fingerprints {
+            let crashes = self.quarantine.crashed(fingerprint, now_ms);
+            self.tell_members(&gateway::Message::Suspect {
+                fingerprint,
+                crashes,
+            });
+        }
+    }
+
+    /// Sends a message to every other member, without waiting for answers.
+    fn tell_members(&self, message: &gateway::Message) {
+        let Some(peers) = self.instance.peers() else {
+            return;
+        };
+        let view = self.instance.view.load();
+        let others = view.members.iter();
+        for member in others.filter(|member| member.instance != *self.instance.id()) {
+            let request = PeerRequest::Gateway(message.clone());
+            let mut replies = peers.open(&member.instance, &member.peer_address, request);
+            actix_rt::spawn(async move { replies.next().await });
+        }
+    }
+
+    fn targets(&self, routes: &RouteTable) -> Vec<SlotTarget> {
+        let at_home = routes.at_home(self.instance.id());
+        at_home
+            .map(|(service, endpoint)| SlotTarget {
+                key: endpoint.key,
+                id: endpoint.id.clone(),
+                service: service.clone(),
+                address: endpoint.address.clone(),
+                slots: endpoint.slots,
+            })
+            .collect()
+    }
+
+    pub(crate) fn retry_budget(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retry_budget
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+impl Dispatch for Dispatcher {
+    fn start(&self, work: Work) -> WorkStream {
+        let (events, stream) = WorkStream::channel();
+        if let Some(me) = self.me.upgrade() {
+            actix_rt::spawn(async move { me.run_as_entry(work, events).await });
+        }
+        stream
+    }
+}
+
+impl Homes for Dispatcher {
+    fn at_home(&self) -> Vec<EndpointKey> {
+        self.routes();
+        self.desk.at_home()
+    }
+
+    fn facts(&self, endpoint: EndpointKey) -> Option<HomeFacts> {
+        self.desk.facts(endpoint)
+    }
+
+    fn hold(&self, endpoint: EndpointKey, held: bool) {
+        self.desk.hold(endpoint, held);
+    }
+}
+
+impl PeerHandler for Dispatcher {
+    fn handle(&self, _from: Arc<str>, request: PeerRequest, reply: ReplySender) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        match request {
+            PeerRequest::Dispatch(Message::Run {
+                endpoint,
+                work,
+                forwarded,
+            }) => {
+                let (events, stream) = WorkStream::channel();
+                actix_rt::spawn(pass_to_peer(stream, reply));
+                actix_rt::spawn(async move {
+                    me.run_as_home(endpoint, *work, forwarded, &events).await;
+                });
+            }
+            PeerRequest::Gateway(gateway::Message::Suspect {
+                fingerprint,
+                crashes,
+            }) => {
+                let now_ms = self.instance.now_ms();
+                self.quarantine.merge(fingerprint, crashes, now_ms);
+                let _ = reply.try_send(PeerReply::Gateway(gateway::Reply::Taken));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Passes events to a peer until the last one, or until the peer is gone: then the stream is
+/// dropped, which cancels the work.
+async fn pass_to_peer(mut stream: WorkStream, reply: ReplySender) {
+    loop {
+        let event = tokio::select! {
+            event = stream.next() => event,
+            () = reply.closed() => return,
+        };
+        let Some(event) = event else {
+            return;
+        };
+        let last = matches!(event, WorkEvent::Done(_));
+        if reply.send(PeerReply::Dispatch(event)).await.is_err() || last {
+            return;
+        }
+    }
+}
