--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -56,3 +56,6 @@
 pub mod usage;
 pub mod view;
 pub mod wire;
+
+#[cfg(test)]
+mod fuzz;
