--- /dev/null
+++ b/bench/src/lease.rs
@@ -0,0 +1,349 @@
+//! Takeover of a lease, and time with two holders, against a lease by wall-clock timestamps.
+//!
+//! Only the cores and the fold run, in one loop under virtual time.
+
+use std::sync::Arc;
+
+use flamingoscale::{
+    lease::{
+        Action,
+        Lease, //
+    },
+    record::{
+        Envelope,
+        Record, //
+    },
+    state::State, //
+};
+use rand::{
+    RngExt as _,
+    SeedableRng as _, //
+};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{
+    json,
+    Value, //
+};
+
+use crate::output;
+
+/// Trials: in each one the holder crashes, or pauses and comes back.
+const TRIALS: u64 = 400;
+
+/// Instances that could hold the lease.
+const INSTANCES: usize = 12;
+
+/// How long a lease lasts.
+const LEASE_MS: u64 = 10_000;
+
+/// How long an order of the last holder may still be under way.
+const GUARD_MS: u64 = 6_000;
+
+/// Virtual time of one step of the loop.
+const STEP_MS: u64 = 50;
+
+/// Longest time until an append is in the log.
+const APPEND_MS: u64 = 400;
+
+/// Clocks run wrong by up to this part, in a thousand.
+const DRIFT_PER_MILLE: i64 = 40;
+
+/// Wall clocks are wrong by up to this much.
+const SKEW_MS: i64 = 3_000;
+
+/// Time of one trial.
+const TRIAL_MS: u64 = 120_000;
+
+/// When the holder crashes or pauses, about.
+const FAULT_MS: u64 = 30_000;
+
+/// Instances read the log up to this much late.
+const READ_LAG_MS: u64 = 2_000;
+
+const LEASE: &str = "orders/everywhere";
+
+/// One instance with its own clock.
+struct Node {
+    name: Arc<str>,
+    speed_per_mille: i64,
+    skew_ms: i64,
+    lag_ms: u64,
+    serial: u64,
+    state: State,
+    lease: Lease,
+    paused_until_ms: u64,
+}
+
+/// An append that is under way.
+struct Sent {
+    arrives_ms: u64,
+    envelope: Envelope,
+}
+
+/// What one trial measured.
+#[derive(Default)]
+struct Trial {
+    takeover_ms: u64,
+    overlap_ms: u64,
+    appends: u64,
+}
+
+impl Node {
+    /// This instance's own reading of a moment.
+    fn clock(&self, now_ms: u64) -> u64 {
+        (now_ms as i64 * (1_000 + self.speed_per_mille) / 1_000) as u64
+    }
+
+    fn wall(&self, now_ms: u64) -> i64 {
+        now_ms as i64 + self.skew_ms
+    }
+
+    /// Folds what was in the log as long ago as this instance reads late.
+    fn read(&mut self, log: &Log, now_ms: u64) {
+        while let Some(record) = log.records.get(self.state.folded as usize) {
+            if record.arrives_ms + self.lag_ms > now_ms {
+                return;
+            }
+            // A record that lost its race is part of the game.
+            let _ = self.state.fold(self.state.folded, &record.envelope);
+        }
+    }
+
+    fn envelope(&mut self, record: Record) -> Envelope {
+        self.serial += 1;
+        Envelope {
+            writer: self.name.clone(),
+            incarnation: 1,
+            serial: self.serial,
+            record,
+        }
+    }
+}
+
+fn nodes(rng: &mut ChaCha8Rng) -> Vec<Node> {
+    (0..INSTANCES)
+        .map(|number| {
+            let name: Arc<str> = format!("n{number}").into();
+            Node {
+                speed_per_mille: rng.random_range(-DRIFT_PER_MILLE..=DRIFT_PER_MILLE),
+                skew_ms: rng.random_range(-SKEW_MS..=SKEW_MS),
+                lag_ms: rng.random_range(0..READ_LAG_MS),
+                serial: 0,
+                state: State::default(),
+                lease: Lease::new(name.clone(), 1, GUARD_MS),
+                paused_until_ms: 0,
+                name,
+            }
+        })
+        .collect()
+}
+
+/// The log, with appends under way.
+struct Log {
+    records: Vec<Sent>,
+    sent: Vec<Sent>,
+}
+
+impl Log {
+    fn new() -> Self {
+        let first = Envelope {
+            writer: "operator".into(),
+            incarnation: 1,
+            serial: 1,
+            record: Record::KeyWithdrawn {
+                key_id: "none".into(),
+            },
+        };
+        Self {
+            records: vec![Sent {
+                arrives_ms: 0,
+                envelope: first,
+            }],
+            sent: Vec::new(),
+        }
+    }
+
+    fn arrive(&mut self, now_ms: u64) {
+        let sent = std::mem::take(&mut self.sent);
+        let (arrived, waiting): (Vec<Sent>, Vec<Sent>) =
+            sent.into_iter().partition(|sent| sent.arrives_ms <= now_ms);
+        self.sent = waiting;
+        self.records.extend(arrived);
+    }
+}
+
+/// A trial of the product's lease. The fault hits the holder at `fault_ms`; a pause lasts until
+/// `back_ms`.
+fn own_trial(rng: &mut ChaCha8Rng, fault_ms: u64, back_ms: u64) -> Trial {
+    let (mut nodes, mut log, mut trial) = (nodes(rng), Log::new(), Trial::default());
+    let mut first = None;
+    for now_ms in (STEP_MS..TRIAL_MS).step_by(STEP_MS as usize) {
+        log.arrive(now_ms);
+        let mut holders = Vec::new();
+        for (number, node) in nodes.iter_mut().enumerate() {
+            if now_ms < node.paused_until_ms {
+                continue;
+            }
+            node.read(&log, now_ms);
+            let clock_ms = node.clock(now_ms);
+            let entry = node.state.leases.get(LEASE);
+            node.lease.observe(clock_ms, entry);
+            if node.lease.term(clock_ms).is_some() {
+                holders.push(number);
+            }
+            let action = node.lease.decide(clock_ms, LEASE_MS, number as u64, false);
+            if let Some(Action::Claim {
+                replaces, lease_ms, ..
+            }) = action
+            {
+                let envelope = node.envelope(Record::LeaseClaim {
+                    lease: LEASE.into(),
+                    replaces,
+                    lease_ms,
+                });
+                let arrives_ms = now_ms + rng.random_range(0..APPEND_MS);
+                trial.appends += 1;
+                log.sent.push(Sent {
+                    arrives_ms,
+                    envelope,
+                });
+            }
+        }
+        trial.overlap_ms += STEP_MS * (holders.len() as u64).saturating_sub(1);
+        observe(
+            &mut nodes,
+            &holders,
+            &mut first,
+            &mut trial,
+            now_ms,
+            (fault_ms, back_ms),
+        );
+    }
+    trial
+}
+
+/// Brings the fault about and notes the takeover.
+fn observe(
+    nodes: &mut [Node],
+    holders: &[usize],
+    first: &mut Option<usize>,
+    trial: &mut Trial,
+    now_ms: u64,
+    (fault_ms, back_ms): (u64, u64),
+) {
+    match *first {
+        None if now_ms >= fault_ms => {
+            if let Some(&holder) = holders.first() {
+                nodes[holder].paused_until_ms = back_ms;
+                *first = Some(holder);
+            }
+        }
+        Some(old) if trial.takeover_ms == 0 && holders.iter().any(|&holder| holder != old) => {
+            trial.takeover_ms = now_ms - fault_ms;
+        }
+        _ => {}
+    }
+}
+
+/// What the baseline's log holds: who holds until which wall-clock time.
+#[derive(Clone, Copy)]
+struct Stamped {
+    arrived_ms: u64,
+    holder: usize,
+    until_ms: i64,
+}
+
+/// The baseline: an entry says until which wall-clock time its holder holds, and everyone
+/// compares that with their own clock. Its claims are conditional too, so time is all that differs.
+fn timestamp_trial(rng: &mut ChaCha8Rng, fault_ms: u64, back_ms: u64) -> Trial {
+    let (mut nodes, mut trial) = (nodes(rng), Trial::default());
+    let mut log: Vec<Stamped> = Vec::new();
+    let mut sent: Vec<(u64, usize, usize, i64)> = Vec::new();
+    let mut asked_ms = [0; INSTANCES];
+    let mut first = None;
+    for now_ms in (STEP_MS..TRIAL_MS).step_by(STEP_MS as usize) {
+        sent.sort_unstable();
+        while sent.first().is_some_and(|claim| claim.0 <= now_ms) {
+            let (arrived_ms, holder, replaces, until_ms) = sent.remove(0);
+            if replaces == log.len() {
+                log.push(Stamped {
+                    arrived_ms,
+                    holder,
+                    until_ms,
+                });
+            }
+        }
+        let mut holders = Vec::new();
+        for (number, node) in nodes.iter().enumerate() {
+            if now_ms < node.paused_until_ms {
+                continue;
+            }
+            let read = log.partition_point(|entry| entry.arrived_ms + node.lag_ms <= now_ms);
+            let entry = log[..read].last();
+            let wall_ms = node.wall(now_ms);
+            let mine = entry.is_some_and(|entry| entry.holder == number);
+            let left_ms = entry.map_or(0, |entry| entry.until_ms - wall_ms);
+            if mine && left_ms > 0 {
+                holders.push(number);
+            }
+            let due_ms = if mine { LEASE_MS as i64 * 2 / 3 } else { 0 };
+            if left_ms <= due_ms && now_ms >= asked_ms[number] {
+                asked_ms[number] = now_ms + APPEND_MS + READ_LAG_MS;
+                trial.appends += 1;
+                let arrives_ms = now_ms + rng.random_range(0..APPEND_MS);
+                sent.push((arrives_ms, number, read, wall_ms + LEASE_MS as i64));
+            }
+        }
+        trial.overlap_ms += STEP_MS * (holders.len() as u64).saturating_sub(1);
+        observe(
+            &mut nodes,
+            &holders,
+            &mut first,
+            &mut trial,
+            now_ms,
+            (fault_ms, back_ms),
+        );
+    }
+    trial
+}
+
+type Run = fn(&mut ChaCha8Rng, u64, u64) -> Trial;
+
+fn measure(seed: u64, run: Run) -> Value {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut takeovers = Vec::new();
+    let (mut overlap_ms, mut with_two, mut appends) = (0, 0, 0);
+    for trial in 0..TRIALS {
+        let fault_ms = FAULT_MS + rng.random_range(0..LEASE_MS);
+        let back_ms = if trial % 2 == 0 {
+            TRIAL_MS
+        } else {
+            fault_ms + rng.random_range(STEP_MS..60_000)
+        };
+        let result = run(&mut rng, fault_ms, back_ms);
+        takeovers.extend((result.takeover_ms > 0).then_some(result.takeover_ms));
+        overlap_ms += result.overlap_ms;
+        with_two += u64::from(result.overlap_ms > 0);
+        appends += result.appends;
+    }
+    takeovers.sort_unstable();
+    let at = |percent: usize| takeovers[(takeovers.len() - 1) * percent / 100];
+    json!({
+        "trials": TRIALS,
+        "takeover_p50_ms": at(50),
+        "takeover_p99_ms": at(99),
+        "trials_with_two_holders": with_two,
+        "two_holders_ms": overlap_ms,
+        "appends_per_s": appends as f64 * 1_000.0 / (TRIALS * TRIAL_MS) as f64,
+    })
+}
+
+pub(crate) fn run(seed: u64) {
+    output::progress("lease", "counted from before sending and from reading");
+    let own = measure(seed, own_trial);
+    output::line("lease", seed, own.clone());
+    output::progress("lease", "wall-clock timestamps");
+    let baseline = measure(seed, timestamp_trial);
+    output::line("lease", seed, json!({ "timestamps": baseline }));
+    output::summary("lease", seed, own, baseline);
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,9 +3,13 @@
 //! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
+mod lease;
+mod membership;
+mod orders;
 mod output;
 mod report;
 mod timeline;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -31,6 +35,26 @@
 }
 
 const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "usage",
+        about: "counts lost and time to the bill, against counts without copies",
+        run: usage::run,
+    },
+    Experiment {
+        name: "orders",
+        about: "cost and backlog of the order policy against a fixed fleet and thresholds",
+        run: orders::run,
+    },
+    Experiment {
+        name: "membership",
+        about: "peer probes against heartbeats through the log",
+        run: membership::run,
+    },
+    Experiment {
+        name: "lease",
+        about: "takeover and time with two holders, against wall-clock timestamps",
+        run: lease::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
--- /dev/null
+++ b/bench/src/membership.rs
@@ -0,0 +1,388 @@
+//! Membership by peer probes against heartbeats through the log: detection, messages, bytes.
+//!
+//! Only the cores run, in one loop under virtual time.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::Instant, //
+};
+
+use flamingoscale::{
+    membership::{
+        Action,
+        Health,
+        Membership,
+        Message,
+        Timing, //
+    },
+    peer::{
+        Frame,
+        PeerRequest, //
+    },
+    record::{
+        Envelope,
+        Record, //
+    },
+    timeline::Stamp,
+    view::Member, //
+};
+use rand::{
+    RngExt as _,
+    SeedableRng as _, //
+};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{
+    json,
+    Value, //
+};
+
+use crate::output;
+
+/// Instances of the runs: today's, and the target's.
+const SIZES: [usize; 3] = [12, 100, 380];
+
+/// Virtual time of one step of the loop.
+const STEP_MS: u64 = 100;
+
+/// Time to find each other before anything is counted.
+const WARM_UP_MS: u64 = 120_000;
+
+/// Time over which messages are counted.
+const QUIET_MS: u64 = 60_000;
+
+/// Longest time to wait for a crash to be known everywhere.
+const DETECTION_LIMIT_MS: u64 = 120_000;
+
+/// Messages in a thousand that are lost in the run with losses.
+const LOSS_PER_MILLE: u32 = 50;
+
+/// What `h2` adds to a message: frame headers and compressed header fields, roughly.
+const OVERHEAD_BYTES: u64 = 48;
+
+/// A heartbeat is appended this often.
+const BEAT_MS: u64 = 2_000;
+
+/// An instance whose heartbeat is missing this often counts as dead.
+const MISSED_BEATS: u64 = 4;
+
+/// Appends a second that all instances share.
+const APPENDS_PER_S: u64 = 300;
+
+/// How often instances read the log.
+const POLL_MS: u64 = 500;
+
+/// An outage of the log.
+const OUTAGE_MS: u64 = 60_000;
+
+struct Cluster {
+    now_ms: u64,
+    cores: BTreeMap<Arc<str>, Membership>,
+    loss_per_mille: u32,
+    rng: ChaCha8Rng,
+    messages: u64,
+    bytes: u64,
+    dead_at: Vec<(u64, Arc<str>)>,
+    suspicions: u64,
+}
+
+impl Cluster {
+    fn new(count: usize, seed: u64) -> Self {
+        let mut cores = BTreeMap::new();
+        for number in 0..count {
+            let member = member(number);
+            let name = member.instance.clone();
+            let mut core = Membership::new(member, Timing::default(), seed + number as u64);
+            for first in 0..2.min(count) {
+                core.hint(&"".into(), &address(first));
+            }
+            cores.insert(name, core);
+        }
+        Self {
+            now_ms: 0,
+            cores,
+            loss_per_mille: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            messages: 0,
+            bytes: 0,
+            dead_at: Vec::new(),
+            suspicions: 0,
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let names: Vec<Arc<str>> = self.cores.keys().cloned().collect();
+        for name in names {
+            if let Some(core) = self.cores.get_mut(&name) {
+                let actions = core.tick(self.now_ms);
+                self.perform(&name, actions);
+            }
+        }
+    }
+
+    fn perform(&mut self, name: &Arc<str>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send {
+                    probe,
+                    peer_address,
+                    message,
+                    ..
+                } => {
+                    let answer = self.deliver(&peer_address, message);
+                    let answer = answer.filter(|answer| self.passes(answer));
+                    if let Some(core) = self.cores.get_mut(name) {
+                        let actions = core.answered(self.now_ms, probe, answer);
+                        self.perform(name, actions);
+                    }
+                }
+                Action::Changed {
+                    health: Health::Suspect,
+                    ..
+                } => {
+                    self.suspicions += 1;
+                }
+                Action::Changed {
+                    health: Health::Dead,
+                    ..
+                } => {
+                    self.dead_at.push((self.now_ms, name.clone()));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Counts a message; returns whether it arrives.
+    fn passes(&mut self, message: &Message) -> bool {
+        self.messages += 1;
+        self.bytes += size(message);
+        self.rng.random_range(0..1_000) >= self.loss_per_mille
+    }
+
+    fn deliver(&mut self, to: &str, message: Message) -> Option<Message> {
+        if !self.passes(&message) {
+            return None;
+        }
+        let name: Arc<str> = to.split(':').next()?.into();
+        if let Message::ProbeFor { target } = message {
+            let probe = self.cores.get_mut(&name)?.probe_message(&target.instance);
+            let answer = self.deliver(&target.peer_address, probe);
+            return Some(answer.unwrap_or(Message::NoAnswer));
+        }
+        let now_ms = self.now_ms;
+        let (answer, actions) = self.cores.get_mut(&name)?.receive(now_ms, message);
+        self.perform(&name, actions);
+        answer
+    }
+}
+
+fn address(number: usize) -> Arc<str> {
+    format!("n{number:03}:7400").into()
+}
+
+fn member(number: usize) -> Member {
+    Member {
+        instance: format!("n{number:03}").into(),
+        incarnation: 0x1234_5678_9abc_def0 + number as u64,
+        failure_domain: format!("domain{}", number % 22).into(),
+        address: format!("10.1.{}.{}:7300", number / 250, number % 250).into(),
+        peer_address: address(number),
+        leaving: false,
+        suspect: false,
+        revision: 123_456,
+    }
+}
+
+/// The bytes of a message on the wire.
+fn size(message: &Message) -> u64 {
+    let frame = Frame {
+        stamp: Stamp {
+            wall_ms: 1_800_000_000_000,
+            count: 7,
+        },
+        from: "n000".into(),
+        body: PeerRequest::Membership(message.clone()),
+    };
+    let encoded = bincode::serde::encode_to_vec(&frame, bincode::config::standard());
+    encoded.map_or(0, |bytes| bytes.len() as u64) + OVERHEAD_BYTES
+}
+
+/// What one size measured.
+struct Figures {
+    detect_first_ms: u64,
+    detect_all_ms: u64,
+    messages_per_s: f64,
+    bytes_per_s: f64,
+    core_us_per_s: f64,
+    false_suspicions: u64,
+    false_deaths: u64,
+}
+
+fn probes(count: usize, seed: u64) -> Figures {
+    let mut cluster = Cluster::new(count, seed);
+    cluster.run(WARM_UP_MS);
+    let (messages, bytes, start) = (cluster.messages, cluster.bytes, Instant::now());
+    cluster.run(QUIET_MS);
+    let node_seconds = (QUIET_MS / 1_000) as f64 * count as f64;
+    let core_us_per_s = start.elapsed().as_micros() as f64 / node_seconds;
+    let messages_per_s = (cluster.messages - messages) as f64 / node_seconds;
+    let bytes_per_s = (cluster.bytes - bytes) as f64 / node_seconds;
+
+    cluster.loss_per_mille = LOSS_PER_MILLE;
+    cluster.suspicions = 0;
+    cluster.dead_at.clear();
+    cluster.run(QUIET_MS);
+    let (false_suspicions, false_deaths) = (cluster.suspicions, cluster.dead_at.len() as u64);
+    cluster.loss_per_mille = 0;
+    cluster.run(WARM_UP_MS);
+
+    let (detect_first_ms, detect_all_ms) = crash(&mut cluster, count);
+    Figures {
+        detect_first_ms,
+        detect_all_ms,
+        messages_per_s,
+        bytes_per_s,
+        core_us_per_s,
+        false_suspicions,
+        false_deaths,
+    }
+}
+
+/// Crashes one instance; returns when the first and the last of the others counted it dead.
+fn crash(cluster: &mut Cluster, count: usize) -> (u64, u64) {
+    cluster.dead_at.clear();
+    cluster.cores.remove(&member(count / 2).instance);
+    let crashed_ms = cluster.now_ms;
+    while cluster.dead_at.len() < count - 1 && cluster.now_ms < crashed_ms + DETECTION_LIMIT_MS {
+        cluster.step();
+    }
+    let first = cluster
+        .dead_at
+        .first()
+        .map_or(0, |dead| dead.0 - crashed_ms);
+    let last = cluster.dead_at.last().map_or(0, |dead| dead.0 - crashed_ms);
+    (first, last)
+}
+
+/// Heartbeats that every instance appends and every instance reads.
+struct Heartbeats {
+    interval_ms: u64,
+    last_read_ms: Vec<u64>,
+    beat_at_ms: Vec<u64>,
+    record_bytes: u64,
+}
+
+impl Heartbeats {
+    fn new(count: usize, rng: &mut ChaCha8Rng) -> Self {
+        // All together stay under a third of the log's limit, which others need too.
+        let least_ms = count as u64 * 3_000 / APPENDS_PER_S;
+        let interval_ms = BEAT_MS.max(least_ms);
+        let envelope = Envelope {
+            writer: "n000".into(),
+            incarnation: 0x1234_5678_9abc_def0,
+            serial: 100_000,
+            record: Record::WindowReported {
+                region: "everywhere".into(),
+                window: 1,
+            },
+        };
+        let record_bytes = flamingoscale::record::encode(&envelope).map_or(0, |b| b.len() as u64);
+        Self {
+            interval_ms,
+            last_read_ms: vec![0; count],
+            beat_at_ms: (0..count)
+                .map(|_| rng.random_range(0..interval_ms))
+                .collect(),
+            record_bytes,
+        }
+    }
+
+    /// Runs with one instance dead from `crash_ms` on and the log away for a while; returns when
+    /// the dead one was found, and how many live ones were taken for dead.
+    fn run(&mut self, crash_ms: u64, outage_ms: (u64, u64), end_ms: u64) -> (u64, u64) {
+        let (mut found_ms, mut wrong) = (0, 0);
+        let limit_ms = MISSED_BEATS * self.interval_ms;
+        let mut taken_for_dead = vec![false; self.beat_at_ms.len()];
+        for now_ms in (0..end_ms).step_by(POLL_MS as usize) {
+            let away = (outage_ms.0..outage_ms.1).contains(&now_ms);
+            for (number, taken) in taken_for_dead.iter_mut().enumerate() {
+                let dead = number == 0 && now_ms >= crash_ms;
+                while !dead && self.beat_at_ms[number] <= now_ms {
+                    if !away {
+                        self.last_read_ms[number] = now_ms;
+                    }
+                    self.beat_at_ms[number] += self.interval_ms;
+                }
+                let silent = now_ms >= self.last_read_ms[number] + limit_ms;
+                if silent && !*taken {
+                    *taken = true;
+                    match dead {
+                        true => found_ms = now_ms - crash_ms,
+                        false => wrong += 1,
+                    }
+                } else if !silent {
+                    *taken = false;
+                }
+            }
+        }
+        (found_ms, wrong)
+    }
+
+    fn appends_per_s(&self) -> f64 {
+        self.beat_at_ms.len() as f64 * 1_000.0 / self.interval_ms as f64
+    }
+}
+
+fn heartbeats(count: usize, seed: u64) -> Value {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let never = (u64::MAX - 1, u64::MAX);
+    let mut quiet = Heartbeats::new(count, &mut rng);
+    let (detect_ms, _) = quiet.run(WARM_UP_MS, never, WARM_UP_MS + DETECTION_LIMIT_MS);
+    let mut outage = Heartbeats::new(count, &mut rng);
+    let (_, wrong) = outage.run(
+        u64::MAX,
+        (WARM_UP_MS, WARM_UP_MS + OUTAGE_MS),
+        WARM_UP_MS + 2 * OUTAGE_MS,
+    );
+    let appends_per_s = quiet.appends_per_s();
+    json!({
+        "instances": count,
+        "detect_all_ms": detect_ms,
+        "log_appends_per_s": appends_per_s,
+        "bytes_per_s_an_instance": appends_per_s * quiet.record_bytes as f64,
+        "false_deaths_in_log_outage": wrong,
+    })
+}
+
+pub(crate) fn run(seed: u64) {
+    let (mut summary, mut baseline) = (Value::Null, Value::Null);
+    for count in SIZES {
+        output::progress("membership", &format!("{count} instances"));
+        let own = probes(count, seed);
+        summary = json!({
+            "instances": count,
+            "detect_first_ms": own.detect_first_ms,
+            "detect_all_ms": own.detect_all_ms,
+            "messages_per_s_an_instance": own.messages_per_s,
+            "bytes_per_s_an_instance": own.bytes_per_s,
+            "core_us_per_s_an_instance": own.core_us_per_s,
+            "log_appends_per_s": 0.0,
+            "false_suspicions_at_5_percent_loss": own.false_suspicions,
+            "false_deaths_at_5_percent_loss": own.false_deaths,
+            "false_deaths_in_log_outage": 0,
+        });
+        output::line("membership", seed, summary.clone());
+        baseline = heartbeats(count, seed);
+        output::line("membership", seed, json!({ "heartbeats": baseline }));
+    }
+    output::summary("membership", seed, summary, baseline);
+}
--- a/flamingoscale/src/controller/usage.rs
+++ b/flamingoscale/src/controller/usage.rs
@@ -219,7 +219,8 @@
         let now_ms = instance.now_ms();
         let mut counts = self.counts.borrow_mut();
         if instance.is_draining() || counts.is_due(now_ms) {
-            counts.take(now_ms, instance.usage.take());
+            let members = instance.view.load().members.len();
+            counts.take(now_ms, members, instance.usage.take());
         }
     }
 
--- a/flamingoscale/src/controller/usage/counts.rs
+++ b/flamingoscale/src/controller/usage/counts.rs
@@ -16,6 +16,10 @@
 /// Time between two batches while the log takes them.
 const BATCH_INTERVAL_MS: u64 = 2_000;
 
+/// At many instances each makes a batch less often, so that all together append a bounded number
+/// of records a second.
+const BATCH_MS_PER_MEMBER: u64 = 50;
+
 /// Batches that wait before the interval doubles; it doubles with each as many more.
 const BATCHES_PER_DOUBLING: usize = 4;
 
@@ -66,10 +70,11 @@
         now_ms >= self.next_take_ms
     }
 
-    /// Makes a batch of what was counted since the last one.
-    pub fn take(&mut self, now_ms: u64, figures: Figures) {
+    /// Makes a batch of what was counted since the last one; `members` live instances do so.
+    pub fn take(&mut self, now_ms: u64, members: usize, figures: Figures) {
         let doublings = (self.batches.len() / BATCHES_PER_DOUBLING).min(DOUBLINGS_LIMIT);
-        self.next_take_ms = now_ms + (BATCH_INTERVAL_MS << doublings);
+        let interval_ms = BATCH_INTERVAL_MS.max(members as u64 * BATCH_MS_PER_MEMBER);
+        self.next_take_ms = now_ms + (interval_ms << doublings);
         if figures.is_empty() {
             return;
         }
--- a/flamingoscale/src/controller/usage/tests.rs
+++ b/flamingoscale/src/controller/usage/tests.rs
@@ -177,7 +177,7 @@
         let (now_ms, node) = (self.now_ms, &mut self.nodes[number]);
         if node.counts.is_due(now_ms) {
             let counted = figures(rng.random_range(1..100));
-            node.counts.take(now_ms, counted);
+            node.counts.take(now_ms, INSTANCES as usize, counted);
         }
         for batch in node.counts.batches() {
             let id = (node.name.clone(), batch.sequence);
--- a/flamingoscale/src/membership/actor.rs
+++ b/flamingoscale/src/membership/actor.rs
@@ -230,7 +230,7 @@
 
     /// Probes a member for another and passes its answer on.
     fn probe_for(&mut self, target: Member, reply: ReplySender, context: &mut Context<Self>) {
-        let message = self.core.probe_message();
+        let message = self.core.probe_message(&target.instance);
         let call = ask(
             &self.context.instance,
             &target.instance,
--- a/flamingoscale/src/membership/core.rs
+++ b/flamingoscale/src/membership/core.rs
@@ -40,6 +40,9 @@
 /// Periods between full exchanges with one member.
 const EXCHANGE_PERIODS: u64 = 300;
 
+/// A newcomer exchanges in these periods too, since others may have come at the same time.
+const FIRST_EXCHANGES: [u64; 4] = [3, 10, 30, 100];
+
 /// Times of the protocol.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
@@ -251,7 +254,7 @@
             Some(Message::Exchange { sender, members }) => {
                 let instance = sender.instance.clone();
                 self.heard_from(now_ms, sender, &mut actions);
-                self.merge(now_ms, members, &mut actions);
+                self.merge_all(now_ms, members, &mut actions);
                 Some(instance)
             }
             _ => None,
@@ -274,14 +277,15 @@
         let mut actions = Vec::new();
         let answer = match message {
             Message::Probe { sender, gossip } => {
+                let charge = self.charge(&sender.instance);
                 self.heard_from(now_ms, sender, &mut actions);
                 self.merge(now_ms, gossip, &mut actions);
-                Some(self.ack())
+                Some(self.ack(charge))
             }
             Message::Exchange { sender, members } => {
                 let answer = self.exchange_message();
                 self.heard_from(now_ms, sender, &mut actions);
-                self.merge(now_ms, members, &mut actions);
+                self.merge_all(now_ms, members, &mut actions);
                 Some(answer)
             }
             _ => None,
@@ -290,21 +294,35 @@
         (answer, actions)
     }
 
-    /// The message by which this instance probes.
-    pub fn probe_message(&mut self) -> Message {
+    /// The message by which this instance probes a member.
+    pub fn probe_message(&mut self, target: &str) -> Message {
+        let charge = self.charge(target);
         Message::Probe {
             sender: self.me.clone(),
-            gossip: self.gossip.take(self.peers.len() + 1),
+            gossip: self.gossip_with(charge),
         }
     }
 
-    fn ack(&mut self) -> Message {
+    fn ack(&mut self, charge: Option<Update>) -> Message {
         Message::Ack {
             sender: self.me.clone(),
-            gossip: self.gossip.take(self.peers.len() + 1),
+            gossip: self.gossip_with(charge),
         }
     }
 
+    /// What is held against a member, for it to hear first and refute.
+    fn charge(&self, instance: &str) -> Option<Update> {
+        let peer = self.peers.get(instance)?;
+        let held = matches!(peer.health, Health::Suspect | Health::Dead);
+        held.then(|| peer.update())
+    }
+
+    fn gossip_with(&mut self, charge: Option<Update>) -> Vec<Update> {
+        let mut updates: Vec<Update> = charge.into_iter().collect();
+        updates.extend(self.gossip.take(self.peers.len() + 1, updates.len()));
+        updates
+    }
+
     fn exchange_message(&self) -> Message {
         Message::Exchange {
             sender: self.me.clone(),
@@ -330,7 +348,7 @@
         let Some(member) = self.next_target() else {
             return;
         };
-        let message = self.probe_message();
+        let message = self.probe_message(&member.instance);
         let action = self.send(&member, message);
         self.probe = Some(Probe {
             id: ProbeId(self.next_probe),
@@ -478,7 +496,8 @@
     }
 
     fn exchange_sometimes(&mut self, actions: &mut Vec<Action>) {
-        if self.period % EXCHANGE_PERIODS != 0 {
+        let regular = self.period % EXCHANGE_PERIODS == 0;
+        if !regular && !FIRST_EXCHANGES.contains(&self.period) {
             return;
         }
         let live = self.peers.values();
@@ -586,6 +605,29 @@
         }
     }
 
+    /// Takes in all that another instance knows. After a partition both sides hold each other for
+    /// dead, so its verdicts on those that live here are left to them: they hear of it and refute.
+    /// A newcomer does not spread what everybody else knows.
+    fn merge_all(&mut self, now_ms: u64, updates: Vec<Update>, actions: &mut Vec<Action>) {
+        let newcomer = 2 * self.peers.len() < updates.len();
+        let gossip = newcomer.then(|| self.gossip.clone());
+        let mut news = updates;
+        news.retain(|update| !self.is_verdict_on_living(update));
+        self.merge(now_ms, news, actions);
+        if let Some(gossip) = gossip {
+            self.gossip = gossip;
+            self.spread_me();
+        }
+    }
+
+    fn is_verdict_on_living(&self, update: &Update) -> bool {
+        let known = self.peers.get(&update.member.instance);
+        let lives = known.is_some_and(|known| {
+            known.health != Health::Dead && known.member.incarnation == update.member.incarnation
+        });
+        lives && update.health == Health::Dead
+    }
+
     /// Refutes whatever others hold against this incarnation, and retires older ones.
     fn hear_of_me(&mut self, update: &Update) {
         if update.member.incarnation != self.me.incarnation {
--- a/flamingoscale/src/membership/gossip.rs
+++ b/flamingoscale/src/membership/gossip.rs
@@ -14,12 +14,12 @@
 const RETRANSMIT_FACTOR: u32 = 3;
 
 /// Changes that still spread, at most one a member.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Gossip {
     items: BTreeMap<Arc<str>, Item>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Item {
     update: Update,
     sent: u32,
@@ -35,8 +35,8 @@
         self.items.insert(update.member.instance.clone(), item);
     }
 
-    /// Takes the changes for one message, those least sent first.
-    pub(super) fn take(&mut self, members: usize) -> Vec<Update> {
+    /// Takes the changes for one message that already holds `taken`, those least sent first.
+    pub(super) fn take(&mut self, members: usize, taken: usize) -> Vec<Update> {
         let limit = retransmit_limit(members);
         let mut waiting: Vec<(u32, Arc<str>)> = self
             .items
@@ -44,7 +44,7 @@
             .map(|(instance, item)| (item.sent, instance.clone()))
             .collect();
         waiting.sort();
-        waiting.truncate(UPDATES_PER_MESSAGE);
+        waiting.truncate(UPDATES_PER_MESSAGE.saturating_sub(taken));
         waiting
             .into_iter()
             .filter_map(|(_, instance)| self.send(&instance, limit))
--- a/flamingoscale/src/membership/tests.rs
+++ b/flamingoscale/src/membership/tests.rs
@@ -113,7 +113,7 @@
             return None;
         }
         if let Message::ProbeFor { target } = message {
-            let probe = self.cores.get_mut(&to)?.probe_message();
+            let probe = self.cores.get_mut(&to)?.probe_message(&target.instance);
             let answer = self.deliver(&to, &target.peer_address, probe);
             return Some(answer.unwrap_or(Message::NoAnswer));
         }
@@ -199,8 +199,12 @@
     assert_eq!(cluster.cores["n000"].members().len(), 5);
     assert_eq!(cluster.cores["n011"].members().len(), 7);
     cluster.cut.clear();
+    cluster.changes.clear();
     cluster.run(120_000);
     assert!(cluster.all_see(12));
+    // Nobody counted as dead, or as suspect, for a moment.
+    assert_eq!(cluster.verdicts(Health::Dead), 0);
+    assert_eq!(cluster.verdicts(Health::Suspect), 0);
 }
 
 #[test]
@@ -234,6 +238,18 @@
     assert!(cluster.all_see(11));
 }
 
+/// The bench does the same at the target's size.
+#[test]
+fn a_crash_among_a_hundred_is_found_by_all() {
+    let mut cluster = Cluster::new(100, 8);
+    cluster.run(40_000);
+    assert!(cluster.all_see(100));
+    cluster.crash("n050");
+    cluster.run(30_000);
+    assert!(cluster.all_see(99));
+    assert_eq!(cluster.verdicts(Health::Dead), 99);
+}
+
 #[test]
 fn messages_stay_small() {
     let mut core = Membership::new(member(0, 1), Timing::default(), 1);
@@ -250,7 +266,7 @@
     };
     core.receive(0, exchange);
     for _ in 0..100 {
-        let Message::Probe { gossip, .. } = core.probe_message() else {
+        let Message::Probe { gossip, .. } = core.probe_message("n001") else {
             panic!("a probe is a probe");
         };
         assert!(gossip.len() <= gossip::UPDATES_PER_MESSAGE);
