--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -107,8 +107,10 @@
     progress(&format!(
         "a withdrawn key stopped its running stream after {withdrawal} ms"
     ));
-    if let Some(faults) = faults {
-        let _ = faults.await;
+    match faults {
+        Some(faults) => drop(faults.await),
+        None if options.nodes > 1 => nodes.drain(options.nodes - 1).await,
+        None => {}
     }
     let findings = callers.finish().await;
     wait_for_usage(&world).await?;
