--- a/standin/src/demo/faults.rs
+++ b/standin/src/demo/faults.rs
@@ -144,7 +144,7 @@
     })
 }
 
-fn strike(planned: &Planned, world: &World, nodes: &Nodes) {
+fn strike(planned: &Planned, world: &World, nodes: &Rc<Nodes>) {
     let fault = &planned.fault;
     match planned.target {
         Target::Platform => world.platform.fault(fault),
--- a/standin/src/demo/nodes.rs
+++ b/standin/src/demo/nodes.rs
@@ -110,9 +110,10 @@
         let domain = DOMAINS[number % DOMAINS.len()];
         let platform = self.world.platform.address();
         let store = self.world.store.address();
-        let mut settings = SettingsBuilder::new(format!("n{}", number + 1), domain, platform, store)
-            .operator_token(OPERATOR_TOKEN)
-            .traffic_threads(TRAFFIC_THREADS);
+        let mut settings =
+            SettingsBuilder::new(format!("n{}", number + 1), domain, platform, store)
+                .operator_token(OPERATOR_TOKEN)
+                .traffic_threads(TRAFFIC_THREADS);
         for &seed in &self.seeds {
             settings = settings.seed(seed);
         }
