--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod service;
 pub mod trainer;
 pub mod weight_store;
+pub mod world;
--- /dev/null
+++ b/standin/src/world.rs
@@ -0,0 +1,445 @@
+//! Coordinators, engines and the wires between them in one thread, without sockets.
+//!
+//! Everything waits on the runtime's clock, so with a paused one hours of training pass in
+//! seconds and a run depends on nothing but its seed. The engines keep the true record of what
+//! ran on which version; the coordinators are the real ones.
+
+use std::{
+    cell::{
+        Cell,
+        RefCell, //
+    },
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::Duration, //
+};
+
+use actix_web::{
+    body::MessageBody,
+    http::StatusCode,
+    test,
+    App, //
+};
+use bytes::Bytes;
+use flamingoscale::{
+    clock::Clock,
+    configuration::{
+        Configuration,
+        Service,
+        ServiceKind,
+        Tolerances,
+        Trainer, //
+    },
+    home::{
+        HomeFacts,
+        Homes, //
+    },
+    instance::{
+        Control,
+        Instance, //
+    },
+    keys::{
+        self,
+        KeyTable, //
+    },
+    record::Record,
+    rollout::{
+        configure,
+        Coordinator, //
+    },
+    settings::SettingsBuilder,
+    state::SubmitError,
+    view::{
+        EndpointKey,
+        EndpointTable,
+        Member,
+        NewestVersion,
+        View, //
+    },
+    wire::{
+        Batch,
+        OpenStep,
+        PublishVersion,
+        WithdrawnKey, //
+    }, //
+};
+use futures::future::{
+    BoxFuture,
+    FutureExt as _, //
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    task::{
+        JoinHandle,
+        LocalSet, //
+    },
+    time::Instant, //
+};
+
+pub mod fleet;
+mod wires;
+
+use fleet::Fleet;
+use wires::Wires;
+
+/// The service that all trainers draw from.
+pub const SERVICE: &str = "draft";
+
+/// The organisation of all trainers.
+const ORGANISATION: &str = "ridge";
+
+/// How long other instances take to see a version that one of them submitted.
+const FOLD_LAG_MS: u64 = 100;
+
+/// The runtime's clock, which tests may pause.
+#[derive(Clone, Copy, Debug)]
+pub struct RuntimeClock(Instant);
+
+impl RuntimeClock {
+    /// A clock that starts now.
+    pub fn start() -> Self {
+        Self(Instant::now())
+    }
+}
+
+impl Clock for RuntimeClock {
+    fn now_ms(&self) -> u64 {
+        // The start is not the clock's zero, as on a real machine.
+        1_000 + self.0.elapsed().as_millis() as u64
+    }
+}
+
+/// One trainer of a world.
+#[derive(Clone, Debug)]
+pub struct WorldTrainer {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its weight.
+    pub weight: u32,
+    /// Its configured staleness bound.
+    pub staleness_bound: u64,
+}
+
+/// One instance with a real coordinator.
+struct Node {
+    instance: Arc<Instance>,
+    coordinator: Arc<Coordinator>,
+    task: JoinHandle<()>,
+}
+
+/// What the instances agree on: what the log would hold.
+#[derive(Debug, Default)]
+struct Shared {
+    versions: BTreeMap<Arc<str>, NewestVersion>,
+    offset: u64,
+}
+
+/// A world with its instances and engines.
+pub struct World {
+    nodes: RefCell<BTreeMap<Arc<str>, Node>>,
+    members: RefCell<Vec<Member>>,
+    configuration: Arc<Configuration>,
+    keys: Arc<KeyTable>,
+    key: Arc<str>,
+    shared: Arc<Mutex<Shared>>,
+    wires: Wires,
+    clock: RuntimeClock,
+    next_incarnation: Cell<u64>,
+    /// The engines.
+    pub fleet: Fleet,
+}
+
+impl World {
+    /// A world of `instances` spread over three failure domains, on the engines of `fleet`.
+    pub fn new(instances: usize, trainers: &[WorldTrainer], fleet: Fleet, seed: u64) -> Self {
+        let clock = RuntimeClock::start();
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (key, entry) = keys::generate(ORGANISATION.into(), &mut random);
+        let mut table = KeyTable::default();
+        table.grant(entry);
+        let world = Self {
+            nodes: RefCell::default(),
+            members: RefCell::default(),
+            configuration: Arc::new(configuration(trainers, &fleet)),
+            keys: Arc::new(table),
+            key,
+            shared: Arc::default(),
+            wires: Wires::new(seed),
+            clock,
+            next_incarnation: Cell::new(1),
+            fleet,
+        };
+        for number in 0..instances {
+            world.start(&format!("n{number}"), &format!("d{}", number % 3));
+        }
+        world
+    }
+
+    /// Starts an instance that knows nothing but the log.
+    pub fn start(&self, name: &str, failure_domain: &str) {
+        let unused = ([127, 0, 0, 1], 1).into();
+        let settings = SettingsBuilder::new(name, failure_domain, unused, unused).build();
+        let incarnation = self.next_incarnation.get();
+        self.next_incarnation.set(incarnation + 1);
+        let instance = Arc::new(Instance::new(settings, incarnation, Arc::new(self.clock)));
+        instance.set_dispatch(Arc::new(self.fleet.clone()));
+        instance.set_peers(self.wires.peers_of(instance.id()));
+        instance.set_control(Arc::new(LogControl(self.shared.clone())));
+        instance.view.set_fresh_until(u64::MAX);
+        let coordinator = Coordinator::new(instance.clone(), Arc::new(NoHomes));
+        self.wires.connect(instance.id(), coordinator.clone());
+        let running = coordinator.clone();
+        // Tasks of the coordinator die with this set, as they would with the process.
+        let task = actix_rt::spawn(async move {
+            let tasks = LocalSet::new();
+            tasks.run_until(running.run()).await;
+        });
+        let member = Member {
+            instance: instance.id().clone(),
+            incarnation,
+            failure_domain: failure_domain.into(),
+            address: "127.0.0.1:1".into(),
+            peer_address: "127.0.0.1:1".into(),
+            leaving: false,
+            suspect: false,
+            revision: 1,
+        };
+        let mut members = self.members.borrow_mut();
+        members.push(member);
+        members.sort_by(|a, b| a.instance.cmp(&b.instance));
+        drop(members);
+        let node = Node {
+            instance,
+            coordinator,
+            task,
+        };
+        self.nodes.borrow_mut().insert(name.into(), node);
+        self.publish_views();
+    }
+
+    /// Kills an instance; the others see it only after [`World::detect`].
+    pub fn crash(&self, name: &str) {
+        if let Some(node) = self.nodes.borrow_mut().remove(name) {
+            node.task.abort();
+            self.wires.cut(name);
+        }
+    }
+
+    /// Lets the survivors see who is gone.
+    pub fn detect(&self) {
+        let nodes = self.nodes.borrow();
+        let is_live = |member: &Member| nodes.contains_key(&member.instance);
+        self.members.borrow_mut().retain(is_live);
+        drop(nodes);
+        self.publish_views();
+    }
+
+    /// Says that an instance is going away; it stays reachable.
+    pub fn leave(&self, name: &str) {
+        for member in self.members.borrow_mut().iter_mut() {
+            member.leaving |= &*member.instance == name;
+        }
+        self.publish_views();
+    }
+
+    /// Lets one in `one_in` answers between instances be lost after its request had its effect;
+    /// 0 ends that.
+    pub fn lose_answers(&self, one_in: u32) {
+        self.wires.lose_answers(one_in);
+    }
+
+    /// The names of the live instances.
+    pub fn instances(&self) -> Vec<Arc<str>> {
+        self.nodes.borrow().keys().cloned().collect()
+    }
+
+    /// The newest version in the log.
+    pub fn newest_version(&self) -> u64 {
+        let shared = lock(&self.shared);
+        let versions = shared.versions.values().map(|newest| newest.version);
+        versions.max().unwrap_or(0)
+    }
+
+    /// Lets the instances see versions that were published through others.
+    pub fn fold(&self) {
+        self.publish_views();
+    }
+
+    /// How long [`World::fold`] should lag behind a publication.
+    pub fn fold_lag() -> Duration {
+        Duration::from_millis(FOLD_LAG_MS)
+    }
+
+    /// Counts one kind of event over all live instances.
+    pub fn counted(&self, kind: &str) -> u64 {
+        let nodes = self.nodes.borrow();
+        let live = nodes.values();
+        live.map(|node| node.instance.metrics.counted(kind)).sum()
+    }
+
+    /// Publishes a version through one instance.
+    pub async fn publish(&self, at: &str, trainer: &str, version: u64) -> StatusCode {
+        let body = PublishVersion { version, bytes: 1 };
+        let path = format!("/v1/trainers/{trainer}/versions");
+        let request = test::TestRequest::post().uri(&path).set_json(body);
+        self.call(at, request).await.0
+    }
+
+    /// Opens a step through one instance.
+    pub async fn open(&self, at: &str, trainer: &str, step: &OpenStep) -> StatusCode {
+        let path = format!("/v1/trainers/{trainer}/steps");
+        let request = test::TestRequest::post().uri(&path).set_json(step);
+        self.call(at, request).await.0
+    }
+
+    /// Fetches a batch through one instance.
+    pub async fn fetch(
+        &self,
+        at: &str,
+        trainer: &str,
+        step: u64,
+        wait_ms: u64,
+    ) -> Result<Batch, StatusCode> {
+        let path = format!("/v1/trainers/{trainer}/steps/{step}?wait_ms={wait_ms}");
+        let (status, body) = self.call(at, test::TestRequest::get().uri(&path)).await;
+        if status != StatusCode::OK {
+            return Err(status);
+        }
+        serde_json::from_slice(&body).map_err(|_| StatusCode::BAD_GATEWAY)
+    }
+
+    /// Acknowledges a batch through one instance.
+    pub async fn acknowledge(&self, at: &str, trainer: &str, step: u64) -> StatusCode {
+        let path = format!("/v1/trainers/{trainer}/steps/{step}/ack");
+        let request = test::TestRequest::post().uri(&path);
+        self.call(at, request).await.0
+    }
+
+    async fn call(&self, at: &str, request: test::TestRequest) -> (StatusCode, Bytes) {
+        let coordinator = self.nodes.borrow().get(at).map(|n| n.coordinator.clone());
+        let Some(coordinator) = coordinator else {
+            return (StatusCode::BAD_GATEWAY, Bytes::new());
+        };
+        let app = App::new().configure(|config| configure(config, coordinator));
+        let service = test::init_service(app).await;
+        let header = ("authorization", format!("Bearer {}", self.key));
+        let request = request.insert_header(header).to_request();
+        let response = test::call_service(&service, request).await;
+        let status = response.status();
+        let body = response.into_body().try_into_bytes();
+        (status, body.unwrap_or_default())
+    }
+
+    fn publish_views(&self) {
+        let versions = Arc::new(lock(&self.shared).versions.clone());
+        for node in self.nodes.borrow().values() {
+            node.instance.view.store(View {
+                revision: 1,
+                configuration: self.configuration.clone(),
+                keys: self.keys.clone(),
+                endpoints: Arc::new(self.endpoints()),
+                members: Arc::new(self.members.borrow().clone()),
+                versions: versions.clone(),
+                ..View::default()
+            });
+        }
+    }
+
+    fn endpoints(&self) -> EndpointTable {
+        let keys = self.fleet.keys();
+        let mut table = EndpointTable::default();
+        table.by_service.insert(SERVICE.into(), keys);
+        table
+    }
+}
+
+fn configuration(trainers: &[WorldTrainer], fleet: &Fleet) -> Configuration {
+    let trainers = trainers.iter().map(|trainer| Trainer {
+        name: trainer.name.clone(),
+        organisation: ORGANISATION.into(),
+        service: SERVICE.into(),
+        weight: trainer.weight,
+        staleness_bound: trainer.staleness_bound,
+    });
+    let service = Service {
+        name: SERVICE.into(),
+        kind: ServiceKind::Engine,
+        idempotent: true,
+        open: false,
+        firm_floor: 1,
+        ceiling: 1_000,
+        slots: fleet.slots(),
+        checks_fencing: true,
+    };
+    Configuration {
+        services: vec![service],
+        trainers: trainers.collect(),
+        tolerances: Tolerances::default(),
+        ..Configuration::default()
+    }
+}
+
+/// The log as one instance submits to it.
+struct LogControl(Arc<Mutex<Shared>>);
+
+impl Control for LogControl {
+    fn submit(&self, record: Record) -> BoxFuture<'static, Result<u64, SubmitError>> {
+        let mut shared = lock(&self.0);
+        shared.offset += 1;
+        let offset = shared.offset;
+        if let Record::VersionPublished {
+            trainer,
+            version,
+            bytes,
+        } = record
+        {
+            let newest = shared.versions.entry(trainer).or_default();
+            if version > newest.version {
+                *newest = NewestVersion {
+                    version,
+                    bytes,
+                    offset,
+                };
+            }
+        }
+        async move { Ok(offset) }.boxed()
+    }
+
+    fn withdraw_key(
+        &self,
+        key_id: Arc<str>,
+    ) -> BoxFuture<'static, Result<WithdrawnKey, SubmitError>> {
+        let withdrawn = WithdrawnKey {
+            key_id,
+            durable: true,
+        };
+        async move { Ok(withdrawn) }.boxed()
+    }
+}
+
+/// No instance of a world is home to anything: the fleet runs the work itself.
+struct NoHomes;
+
+impl Homes for NoHomes {
+    fn at_home(&self) -> Vec<EndpointKey> {
+        Vec::new()
+    }
+
+    fn facts(&self, _endpoint: EndpointKey) -> Option<HomeFacts> {
+        None
+    }
+
+    fn hold(&self, _endpoint: EndpointKey, _held: bool) {}
+}
+
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A panic while holding this lock leaves plain data behind, which is safe to go on with.
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/standin/src/world/wires.rs
@@ -0,0 +1,129 @@
+//! The wires between the instances of a world.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration, //
+};
+
+use flamingoscale::peer::{
+    PeerError,
+    PeerHandler,
+    PeerRequest,
+    PeerStream,
+    Peers, //
+};
+use rand::{
+    Rng as _,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+use tokio::{
+    sync::mpsc,
+    time::sleep, //
+};
+
+use super::lock;
+
+/// One-way latency.
+const LATENCY: Duration = Duration::from_millis(1);
+
+/// Replies on their way.
+const REPLIES: usize = 32;
+
+struct Inner {
+    handlers: BTreeMap<Arc<str>, Arc<dyn PeerHandler>>,
+    random: ChaCha8Rng,
+    lose_one_in: u32,
+}
+
+/// All wires of a world.
+#[derive(Clone)]
+pub(super) struct Wires(Arc<Mutex<Inner>>);
+
+/// One instance's ends of the wires.
+struct Ends {
+    from: Arc<str>,
+    wires: Wires,
+}
+
+impl Wires {
+    pub(super) fn new(seed: u64) -> Self {
+        Self(Arc::new(Mutex::new(Inner {
+            handlers: BTreeMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed ^ 0x57),
+            lose_one_in: 0,
+        })))
+    }
+
+    pub(super) fn connect(&self, name: &Arc<str>, handler: Arc<dyn PeerHandler>) {
+        lock(&self.0).handlers.insert(name.clone(), handler);
+    }
+
+    pub(super) fn cut(&self, name: &str) {
+        lock(&self.0).handlers.remove(name);
+    }
+
+    pub(super) fn lose_answers(&self, one_in: u32) {
+        lock(&self.0).lose_one_in = one_in;
+    }
+
+    pub(super) fn peers_of(&self, name: &Arc<str>) -> Arc<dyn Peers> {
+        Arc::new(Ends {
+            from: name.clone(),
+            wires: self.clone(),
+        })
+    }
+
+    fn handler(&self, name: &str) -> Option<Arc<dyn PeerHandler>> {
+        lock(&self.0).handlers.get(name).cloned()
+    }
+
+    fn is_lost(&self) -> bool {
+        let mut inner = lock(&self.0);
+        let one_in = inner.lose_one_in;
+        one_in > 0 && inner.random.next_u32() % one_in == 0
+    }
+
+    /// Carries one request over and its replies back.
+    async fn carry(
+        self,
+        from: Arc<str>,
+        peer: Arc<str>,
+        request: PeerRequest,
+        replies: mpsc::Sender<Result<flamingoscale::peer::PeerReply, PeerError>>,
+    ) {
+        sleep(LATENCY).await;
+        let reason: Arc<str> = "the wire is cut".into();
+        let Some(handler) = self.handler(&peer) else {
+            let _ = replies.send(Err(PeerError::NotSent { peer, reason })).await;
+            return;
+        };
+        let lost = self.is_lost();
+        let (sender, mut receiver) = mpsc::channel(REPLIES);
+        handler.handle(from, request, sender);
+        while let Some(reply) = receiver.recv().await {
+            if lost || self.handler(&peer).is_none() {
+                let _ = replies.send(Err(PeerError::Lost { peer, reason })).await;
+                return;
+            }
+            sleep(LATENCY).await;
+            if replies.send(Ok(reply)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+impl Peers for Ends {
+    fn open(&self, peer: &Arc<str>, _peer_address: &Arc<str>, request: PeerRequest) -> PeerStream {
+        let (replies, stream) = PeerStream::channel();
+        let wires = self.wires.clone();
+        let (from, peer) = (self.from.clone(), peer.clone());
+        actix_rt::spawn(wires.carry(from, peer, request, replies));
+        stream
+    }
+}
