--- a/flamingoscale/src/controller/tenure.rs
+++ b/flamingoscale/src/controller/tenure.rs
@@ -44,6 +44,13 @@
         self.lease.borrow().term(now_ms)
     }
 
+    /// The term at this instant, if something sent now will arrive within it.
+    pub(crate) fn term_for(&self, margin_ms: u64) -> Option<Term> {
+        let now_ms = self.context.instance.now_ms();
+        self.observe(now_ms);
+        self.lease.borrow().term_for(now_ms, margin_ms)
+    }
+
     /// A receiver refused the fencing number.
     pub(crate) fn fenced(&self) {
         let instance = &self.context.instance;
@@ -71,12 +78,10 @@
             let mut lease = self.lease.borrow_mut();
             lease.decide(now_ms, lease_ms, rank, leaving)
         };
-        let action = match action {
-            Some(action) => action,
-            None => match self.lease.borrow().resend(lease_ms) {
-                Some(action) if !leaving => action,
-                _ => return,
-            },
+        let resend = || self.lease.borrow_mut().resend(lease_ms);
+        let again = || if leaving { None } else { resend() };
+        let Some(action) = action.or_else(again) else {
+            return;
         };
         if self.is_new_claim(action) && !self.is_at_head().await {
             return self.lease.borrow_mut().refused();
--- a/flamingoscale/src/lease.rs
+++ b/flamingoscale/src/lease.rs
@@ -14,6 +14,9 @@
 /// One part in this many of a lease is allowed for clocks that run at different speeds.
 const DRIFT_DIVISOR: u64 = 10;
 
+/// A margin for what is under way is at most this part of the lease.
+const MARGIN_DIVISOR: u64 = 4;
+
 /// Wait between claims of instances that are next in line.
 const RANK_STEP_MS: u64 = 500;
 
@@ -63,6 +66,8 @@
     seen: Option<Seen>,
     /// When the oldest claim whose fate is not known was sent.
     pending_since_ms: Option<u64>,
+    /// Whether the fate of some append since then is unknown, so that no later refusal settles it.
+    doubtful: bool,
     term: Option<Term>,
     /// Set by a fencing number that was refused, until the fold shows a claim above it.
     fenced: bool,
@@ -79,6 +84,7 @@
             guard_ms,
             seen: None,
             pending_since_ms: None,
+            doubtful: false,
             term: None,
             fenced: false,
         }
@@ -114,6 +120,7 @@
 
     fn take_claim(&mut self, now_ms: u64, entry: &LeaseEntry) {
         let sent = self.pending_since_ms.take();
+        self.doubtful = false;
         if !self.is_mine(entry) {
             self.term = None;
             return;
@@ -138,6 +145,14 @@
             .filter(|term| now_ms < term.ends_at_ms && !self.fenced)
     }
 
+    /// The term, if it lasts long enough for something sent now to arrive within it: `margin_ms`,
+    /// but at most a quarter of the lease.
+    pub fn term_for(&self, now_ms: u64, margin_ms: u64) -> Option<Term> {
+        let lease_ms = self.seen.as_ref()?.entry.lease_ms;
+        let margin_ms = margin_ms.min(lease_ms / MARGIN_DIVISOR);
+        self.term(now_ms + margin_ms)
+    }
+
     /// Decides what to append. `rank` is this instance's place in line, 0 for the first; `leaving`
     /// says that it goes away.
     pub fn decide(
@@ -181,15 +196,19 @@
         Some(action)
     }
 
-    /// The last append had no effect, for certain.
+    /// The last append had no effect, for certain. An earlier one whose fate is unknown may still
+    /// be accepted, and a term must then count from when that one was sent.
     pub fn refused(&mut self) {
-        self.pending_since_ms = None;
+        if !self.doubtful {
+            self.pending_since_ms = None;
+        }
     }
 
     /// Nothing is known of the last append, and it may be sent again. Should it have been
     /// accepted, its term still counts from when the first was sent.
-    pub fn resend(&self, lease_ms: u64) -> Option<Action> {
+    pub fn resend(&mut self, lease_ms: u64) -> Option<Action> {
         self.pending_since_ms?;
+        self.doubtful = true;
         let seen = self.seen.as_ref();
         Some(Action::Claim {
             replaces: seen.map_or(0, |seen| seen.entry.claim),
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod configuration;
 pub mod control;
 pub mod controller;
+pub mod demand;
 pub mod dispatch;
 pub mod engine;
 pub mod gateway;
@@ -45,11 +46,17 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod questionnaire;
 pub mod record;
 pub mod rollout;
+pub mod routing;
+pub mod service;
 pub mod settings;
 pub mod state;
 pub mod timeline;
 pub mod usage;
 pub mod view;
 pub mod wire;
+
+#[cfg(test)]
+mod fuzz;
--- /dev/null
+++ b/flamingoscale/src/routing/table.rs
@@ -0,0 +1,309 @@
+//! The route table: for every service its endpoints on a hash ring, each with its home.
+//!
+//! It is built once for each change of endpoints or members, so that a request's choice costs a
+//! binary search and a short walk, whatever the number of endpoints.
+
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
+
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
+
+use crate::{
+    configuration::Configuration,
+    routing::{
+        load::EndpointLoad,
+        rendezvous, //
+    },
+    view::{
+        Endpoint,
+        EndpointKey,
+        EndpointTable,
+        Member,
+        View, //
+    },
+    wire::EndpointPhase, //
+};
+
+/// Points of one endpoint on the ring; more spread the load more evenly.
+const POINTS_PER_ENDPOINT: u64 = 8;
+
+/// Distinct endpoints that a choice looks at before it takes the least loaded of them.
+const WALK_ENDPOINTS: usize = 8;
+
+/// Bytes of a prompt that requests must share to go to the same endpoint.
+const AFFINITY_BYTES: usize = 256;
+
+/// Slots of an endpoint whose service names none.
+const DEFAULT_SLOTS: u32 = 8;
+
+/// One endpoint as a target of requests.
+#[derive(Clone, Debug)]
+pub struct RouteEndpoint {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its id.
+    pub id: Arc<str>,
+    /// `ip:port` of its HTTP face.
+    pub address: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// The instance that sends it work.
+    pub home: Arc<Member>,
+    /// Its load as seen from here.
+    pub load: Arc<EndpointLoad>,
+    /// Closed while its home can't be reached.
+    pub home_load: Arc<EndpointLoad>,
+}
+
+/// The endpoints of one service.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceRoutes {
+    endpoints: Vec<RouteEndpoint>,
+    /// Points in order, each with an index into `endpoints`.
+    ring: Vec<(u64, u32)>,
+}
+
+/// The route table of one view.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    routes: Arc<Routes>,
+    endpoints: Arc<EndpointTable>,
+    members: Arc<Vec<Member>>,
+    configuration: Arc<Configuration>,
+}
+
+#[derive(Debug, Default)]
+struct Routes {
+    services: HashMap<Arc<str>, ServiceRoutes>,
+    by_key: HashMap<EndpointKey, (Arc<str>, u32)>,
+    homes: HashMap<Arc<str>, Arc<EndpointLoad>>,
+}
+
+impl RouteTable {
+    /// Builds the table of a view. Loads are carried over from the table before it, and all of
+    /// it where nothing that matters for routes has changed.
+    pub fn build(view: &View, before: &RouteTable) -> Self {
+        let unchanged = before.endpoints == view.endpoints
+            && before.configuration.services == view.configuration.services
+            && same_homes(&before.members, &view.members);
+        let routes = if unchanged {
+            before.routes.clone()
+        } else {
+            Arc::new(Routes::build(view, &before.routes))
+        };
+        Self {
+            routes,
+            endpoints: view.endpoints.clone(),
+            members: view.members.clone(),
+            configuration: view.configuration.clone(),
+        }
+    }
+
+    /// Whether the table was built from these parts of the view.
+    pub fn fits(&self, view: &View) -> bool {
+        Arc::ptr_eq(&self.endpoints, &view.endpoints)
+            && Arc::ptr_eq(&self.members, &view.members)
+            && Arc::ptr_eq(&self.configuration, &view.configuration)
+    }
+
+    /// The routes of a service that has endpoints.
+    pub fn service(&self, service: &str) -> Option<&ServiceRoutes> {
+        self.routes.services.get(service)
+    }
+
+    /// The endpoint with this key, if work may go there.
+    pub fn endpoint(&self, key: EndpointKey) -> Option<&RouteEndpoint> {
+        self.routes.endpoint(key)
+    }
+
+    /// All endpoints whose home is the instance, with their services.
+    pub fn at_home<'a>(
+        &'a self,
+        instance: &'a str,
+    ) -> impl Iterator<Item = (&'a Arc<str>, &'a RouteEndpoint)> {
+        self.routes
+            .services
+            .iter()
+            .flat_map(move |(service, routes)| {
+                let endpoints = routes.endpoints.iter();
+                endpoints
+                    .filter(move |endpoint| &*endpoint.home.instance == instance)
+                    .map(move |endpoint| (service, endpoint))
+            })
+    }
+}
+
+impl Routes {
+    fn build(view: &View, before: &Routes) -> Self {
+        let mut table = Self::default();
+        let homes = HomeFinder::new(&view.members);
+        for (service, keys) in &view.endpoints.by_service {
+            let slots = view.configuration.service(service).map_or(0, |s| s.slots);
+            let slots = if slots == 0 { DEFAULT_SLOTS } else { slots };
+            let mut routes = ServiceRoutes::default();
+            let endpoints = keys
+                .iter()
+                .filter_map(|key| view.endpoints.endpoints.get(key));
+            for endpoint in endpoints {
+                if let Some(route) = table.route(endpoint, slots, &homes, before) {
+                    let index = routes.endpoints.len() as u32;
+                    table.by_key.insert(endpoint.key, (service.clone(), index));
+                    routes.endpoints.push(route);
+                }
+            }
+            routes.build_ring();
+            table.services.insert(service.clone(), routes);
+        }
+        table
+    }
+
+    /// The route to an endpoint, if work may go there.
+    fn route(
+        &mut self,
+        endpoint: &Endpoint,
+        slots: u32,
+        homes: &HomeFinder<'_>,
+        before: &Routes,
+    ) -> Option<RouteEndpoint> {
+        let platform = &endpoint.platform;
+        if platform.phase != EndpointPhase::Running {
+            return None;
+        }
+        let home = homes.home(&platform.endpoint, &platform.failure_domain)?;
+        Some(RouteEndpoint {
+            key: endpoint.key,
+            id: platform.endpoint.clone(),
+            address: platform.address.clone(),
+            slots,
+            home_load: self.home_load(&home.instance, before),
+            home,
+            load: before.load(endpoint.key),
+        })
+    }
+
+    fn endpoint(&self, key: EndpointKey) -> Option<&RouteEndpoint> {
+        let (service, index) = self.by_key.get(&key)?;
+        self.services.get(service)?.endpoints.get(*index as usize)
+    }
+
+    fn home_load(&mut self, instance: &Arc<str>, before: &Routes) -> Arc<EndpointLoad> {
+        let entry = self.homes.entry(instance.clone());
+        entry
+            .or_insert_with(|| before.homes.get(instance).cloned().unwrap_or_default())
+            .clone()
+    }
+
+    fn load(&self, key: EndpointKey) -> Arc<EndpointLoad> {
+        self.endpoint(key)
+            .map(|endpoint| endpoint.load.clone())
+            .unwrap_or_default()
+    }
+}
+
+/// Whether two lists of members give every endpoint the same home at the same address.
+fn same_homes(a: &[Member], b: &[Member]) -> bool {
+    let key = |member: &Member| {
+        (
+            member.instance.clone(),
+            member.incarnation,
+            member.failure_domain.clone(),
+            member.peer_address.clone(),
+            member.leaving,
+        )
+    };
+    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| key(a) == key(b))
+}
+
+/// Members by failure domain, so that a home is found among few candidates.
+struct HomeFinder<'a> {
+    by_domain: HashMap<&'a str, Vec<Member>>,
+    all: &'a [Member],
+    shared: HashMap<&'a str, Arc<Member>>,
+}
+
+impl<'a> HomeFinder<'a> {
+    fn new(members: &'a [Member]) -> Self {
+        let mut by_domain: HashMap<&str, Vec<Member>> = HashMap::new();
+        let mut shared = HashMap::new();
+        for member in members.iter().filter(|member| !member.leaving) {
+            let domain = by_domain.entry(&member.failure_domain).or_default();
+            domain.push(member.clone());
+            shared.insert(&*member.instance, Arc::new(member.clone()));
+        }
+        Self {
+            by_domain,
+            all: members,
+            shared,
+        }
+    }
+
+    fn home(&self, endpoint: &str, failure_domain: &str) -> Option<Arc<Member>> {
+        let near = self.by_domain.get(failure_domain);
+        let candidates = near.map_or(self.all, |near| near);
+        let home = rendezvous::home(endpoint, failure_domain, candidates)?;
+        self.shared.get(&*home.instance).cloned()
+    }
+}
+
+impl ServiceRoutes {
+    /// Chooses an endpoint for a request: the first on the ring behind `affinity` that has a free
+    /// slot, or the least loaded of the first few. `avoid` are those that failed it before.
+    pub fn choose(
+        &self,
+        affinity: u64,
+        avoid: &[EndpointKey],
+        now_ms: u64,
+    ) -> Option<&RouteEndpoint> {
+        let start = self.ring.partition_point(|(point, _)| *point < affinity);
+        let mut seen: [u32; WALK_ENDPOINTS] = [u32::MAX; WALK_ENDPOINTS];
+        let mut count = 0;
+        let mut best: Option<(u32, &RouteEndpoint)> = None;
+        for step in 0..self.ring.len() {
+            let (_, index) = self.ring[(start + step) % self.ring.len()];
+            let endpoint = &self.endpoints[index as usize];
+            let open = endpoint.load.is_open(now_ms) && endpoint.home_load.is_open(now_ms);
+            if !open || avoid.contains(&endpoint.key) || seen[..count].contains(&index) {
+                continue;
+            }
+            let estimate = endpoint.load.estimate(now_ms);
+            if estimate < endpoint.slots {
+                return Some(endpoint);
+            }
+            if best.is_none_or(|(least, _)| estimate < least) {
+                best = Some((estimate, endpoint));
+            }
+            seen[count] = index;
+            count += 1;
+            if count == WALK_ENDPOINTS {
+                break;
+            }
+        }
+        best.map(|(_, endpoint)| endpoint)
+    }
+
+    /// The endpoints in no order.
+    pub fn endpoints(&self) -> &[RouteEndpoint] {
+        &self.endpoints
+    }
+
+    fn build_ring(&mut self) {
+        for (index, endpoint) in self.endpoints.iter().enumerate() {
+            for point in 0..POINTS_PER_ENDPOINT {
+                let hash = xxh3_64_with_seed(endpoint.id.as_bytes(), point);
+                self.ring.push((hash, index as u32));
+            }
+        }
+        self.ring.sort_unstable();
+    }
+}
+
+/// The ring position of a prompt: those that start alike go to the same endpoint's cache.
+pub fn prompt_affinity(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    xxh3_64(&bytes[..bytes.len().min(AFFINITY_BYTES)])
+}
