--- a/flamingoscale/src/controller.rs
+++ b/flamingoscale/src/controller.rs
@@ -9,6 +9,7 @@
 pub mod orders;
 pub(crate) mod tenure;
 pub mod usage;
+pub mod weights;
 
 use crate::{
     instance::Instance,
--- a/standin/src/world/fleet.rs
+++ b/standin/src/world/fleet.rs
@@ -247,9 +247,8 @@
             wanted && engine.version >= work.oldest_version && engine.load < 2 * slots
         };
         let open = inner.engines.iter().filter(|(key, e)| fits(key, e));
-        let rank = |key: &EndpointKey| {
-            xxh3_64_with_seed(request.prompt.as_bytes(), u64::from(key.0))
-        };
+        let rank =
+            |key: &EndpointKey| xxh3_64_with_seed(request.prompt.as_bytes(), u64::from(key.0));
         let free = open.clone().filter(|(_, engine)| engine.load < slots);
         let best = free.max_by_key(|(key, _)| rank(key));
         let best = best.or_else(|| open.min_by_key(|(_, engine)| engine.load));
--- a/standin/tests/rollout_fuzz.rs
+++ b/standin/tests/rollout_fuzz.rs
@@ -57,20 +57,46 @@
 #[derive(Clone, Debug)]
 enum Event {
     /// An instance dies; the others see it after a while.
-    Crash { instance: usize, seen_after_ms: u64 },
+    Crash {
+        instance: usize,
+        seen_after_ms: u64,
+    },
     /// A fresh instance starts.
     Start,
     /// An instance announces that it goes, and goes.
-    Leave { instance: usize, after_ms: u64 },
-    EngineCrash { engine: u32, back_after_ms: u64 },
+    Leave {
+        instance: usize,
+        after_ms: u64,
+    },
+    EngineCrash {
+        engine: u32,
+        back_after_ms: u64,
+    },
     /// A swap in the middle of whatever runs, to the newest version or failing.
-    Swap { engine: u32, takes_ms: u64, fails: bool },
+    Swap {
+        engine: u32,
+        takes_ms: u64,
+        fails: bool,
+    },
     /// An engine stops naming versions, or names them again.
-    Tell { engine: u32, tells: bool },
-    Silence { engine: u32, for_ms: u64 },
-    Slow { engine: u32, factor: u8 },
-    LoseAnswers { one_in: u32 },
-    Wait { ms: u64 },
+    Tell {
+        engine: u32,
+        tells: bool,
+    },
+    Silence {
+        engine: u32,
+        for_ms: u64,
+    },
+    Slow {
+        engine: u32,
+        factor: u8,
+    },
+    LoseAnswers {
+        one_in: u32,
+    },
+    Wait {
+        ms: u64,
+    },
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -267,7 +293,10 @@
             let key = EndpointKey(engine);
             world.fleet.crash(key);
             // It comes back with whatever its image holds, which is old.
-            later(back_after_ms, Box::new(move |world| world.fleet.restart(key, 0)));
+            later(
+                back_after_ms,
+                Box::new(move |world| world.fleet.restart(key, 0)),
+            );
         }
         Event::Swap {
             engine,
@@ -286,7 +315,10 @@
         Event::Silence { engine, for_ms } => {
             let key = EndpointKey(engine);
             world.fleet.silence(key, true);
-            later(for_ms, Box::new(move |world| world.fleet.silence(key, false)));
+            later(
+                for_ms,
+                Box::new(move |world| world.fleet.silence(key, false)),
+            );
         }
         Event::Slow { engine, factor } => {
             world.fleet.slow(EndpointKey(engine), f64::from(factor));
