--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -89,8 +89,25 @@
     let nodes = Rc::new(Nodes::start(options.nodes, &world)?);
     progress(&format!("{} nodes are up", options.nodes));
     let operator = Operator::new(nodes.addresses());
-    operator.wait_ready(PATIENCE).await?;
+    let result = drive(&options, &world, &nodes, &operator).await;
+    if options.show_timeline {
+        show_timeline(&operator, &nodes).await;
+    }
+    nodes.stop_all().await;
+    let took_s = started.elapsed().as_secs_f64();
+    progress(&format!("all of it took {took_s:.1} s"));
+    result
+}
+
+async fn drive(
+    options: &Options,
+    world: &Rc<World>,
+    nodes: &Rc<Nodes>,
+    operator: &Operator,
+) -> Result<Report, String> {
+    operator.wait_for("live", PATIENCE).await?;
     let revision = operator.submit(&world::questionnaire(), PATIENCE).await?;
+    operator.wait_for("ready", PATIENCE).await?;
     progress(&format!(
         "the questionnaire is in force as revision {revision}"
     ));
@@ -101,11 +118,11 @@
     let plan = options.faults.then(|| Plan::new(options.seed));
     let faults = plan.map(|plan| faults::inject(plan, world.clone(), nodes.clone()));
     let mut report = Report::new(options.seed, options.nodes as u64);
-    train(&options, &world, &nodes, &keys.trainer, &mut report).await?;
-    let withdrawal =
-        callers::withdraw_in_use(&operator, &nodes.addresses(), options.faults).await?;
+    train(options, world, nodes, &keys.trainer, &mut report).await?;
+    let entries = nodes.addresses();
+    let withdrawal_ms = callers::withdraw_in_use(operator, &entries, options.faults).await?;
     progress(&format!(
-        "a withdrawn key stopped its running stream after {withdrawal} ms"
+        "a withdrawn key stopped its stream after {withdrawal_ms} ms"
     ));
     match faults {
         Some(faults) => drop(faults.await),
@@ -113,15 +130,9 @@
         None => {}
     }
     let findings = callers.finish().await;
-    wait_for_usage(&world).await?;
-    count(&world, &findings, &mut report);
-    if options.show_timeline {
-        show_timeline(&operator, &nodes).await;
-    }
+    wait_for_usage(world).await?;
+    count(world, &findings, &mut report);
     check_whole(&findings, options.faults, &mut report);
-    nodes.stop_all().await;
-    let took_s = started.elapsed().as_secs_f64();
-    progress(&format!("all of it took {took_s:.1} s"));
     Ok(report)
 }
 
--- a/standin/src/demo/operator.rs
+++ b/standin/src/demo/operator.rs
@@ -69,18 +69,18 @@
         }
     }
 
-    /// Waits until every node says that it is ready.
-    pub(super) async fn wait_ready(&self, limit: Duration) -> Result<(), String> {
+    /// Waits until every node says that it is `live` or `ready`.
+    pub(super) async fn wait_for(&self, health: &str, limit: Duration) -> Result<(), String> {
         let started = Instant::now();
         for node in &self.nodes {
-            let url = format!("http://{node}/health/ready");
+            let url = format!("http://{node}/health/{health}");
             loop {
                 let sent = self.client.get(&url).timeout(EXCHANGE_LIMIT).send().await;
                 if sent.is_ok_and(|response| response.status().is_success()) {
                     break;
                 }
                 if started.elapsed() > limit {
-                    return Err(format!("node {node} never became ready"));
+                    return Err(format!("node {node} never became {health}"));
                 }
                 sleep_ms(20).await;
             }
