Assemble the daemon, the operators' face and the command line

Cause: the parts were on main, but nothing ran them together. Change: daemon.rs builds and runs one instance on threads of its own, with a graceful drain and a kill for tests; admin.rs is the operators' HTTP face; flamingoscaled and flamingoctl are thin programs on top.

--- /dev/null
+++ b/flamingoctl/src/html.rs
@@ -0,0 +1,163 @@
+//! The time line as one self-contained HTML page: a lane for each process, time from left to right.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write, //
+};
+
+use flamingoscale::timeline::Event;
+
+use crate::timeline::format_fields;
+
+/// Width of the drawing.
+const WIDTH_PX: u64 = 1_400;
+
+/// Height of one process's lane.
+const LANE_PX: usize = 46;
+
+/// Space left of the lanes for names.
+const MARGIN_PX: u64 = 120;
+
+/// Colours for the parts of the system, by the first word of an event's kind.
+const COLOURS: [&str; 10] = [
+    "#1b6ca8", "#c8553d", "#2e7d32", "#8e44ad", "#b7791f", "#00838f", "#ad1457", "#5d4037",
+    "#455a64", "#9e9d24",
+];
+
+const STYLE: &str = "body{font:14px sans-serif;margin:24px;color:#222}h1{font-size:20px}\
+svg{border:1px solid #ddd;background:#fcfcfc}table{border-collapse:collapse;margin-top:16px}\
+td,th{padding:2px 10px;text-align:left;border-bottom:1px solid #eee;font-size:13px}\
+.key span{display:inline-block;margin-right:16px}.dot{border-radius:50%;width:10px;height:10px;\
+display:inline-block;margin-right:5px}td.m{font-family:monospace;white-space:nowrap}";
+
+/// Renders the page of events that are in order already.
+pub(crate) fn page(events: &[Event]) -> String {
+    let layout = Layout::new(events);
+    let mut page = format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>flamingoscale time \
+         line</title><style>{STYLE}</style><h1>Time line: {} events of {} processes over {} \
+         ms</h1>",
+        events.len(),
+        layout.lanes.len(),
+        layout.span_ms
+    );
+    layout.write_key(&mut page);
+    layout.write_lanes(&mut page, events);
+    layout.write_table(&mut page, events);
+    page
+}
+
+struct Layout {
+    start_ms: u64,
+    span_ms: u64,
+    lanes: BTreeMap<String, usize>,
+    colours: BTreeMap<String, &'static str>,
+}
+
+impl Layout {
+    fn new(events: &[Event]) -> Self {
+        let start_ms = events.first().map_or(0, |event| event.stamp.wall_ms);
+        let end_ms = events.last().map_or(0, |event| event.stamp.wall_ms);
+        let mut lanes = BTreeMap::new();
+        let mut colours = BTreeMap::new();
+        for event in events {
+            let lane = lanes.len();
+            lanes.entry(event.process.to_string()).or_insert(lane);
+            let colour = COLOURS[colours.len() % COLOURS.len()];
+            colours.entry(part(event).to_owned()).or_insert(colour);
+        }
+        Self {
+            start_ms,
+            span_ms: (end_ms - start_ms).max(1),
+            lanes,
+            colours,
+        }
+    }
+
+    fn x_px(&self, event: &Event) -> u64 {
+        let after_ms = event.stamp.wall_ms - self.start_ms;
+        MARGIN_PX + after_ms * (WIDTH_PX - MARGIN_PX - 20) / self.span_ms
+    }
+
+    fn colour(&self, event: &Event) -> &'static str {
+        self.colours.get(part(event)).copied().unwrap_or("#000")
+    }
+
+    fn write_key(&self, page: &mut String) {
+        page.push_str("<p class=\"key\">");
+        for (part, colour) in &self.colours {
+            let part = escape(part);
+            let _ = write!(
+                page,
+                "<span><i class=\"dot\" style=\"background:{colour}\"></i>{part}</span>"
+            );
+        }
+        page.push_str("</p>");
+    }
+
+    fn write_lanes(&self, page: &mut String, events: &[Event]) {
+        let height = self.lanes.len() * LANE_PX + 10;
+        let _ = write!(page, "<svg width=\"{WIDTH_PX}\" height=\"{height}\">");
+        for (process, lane) in &self.lanes {
+            let y = lane * LANE_PX + LANE_PX / 2 + 5;
+            let process = escape(process);
+            let _ = write!(
+                page,
+                "<text x=\"8\" y=\"{}\">{process}</text><line x1=\"{MARGIN_PX}\" y1=\"{y}\" \
+                 x2=\"{WIDTH_PX}\" y2=\"{y}\" stroke=\"#ccc\"/>",
+                y + 5
+            );
+        }
+        for event in events {
+            self.write_dot(page, event);
+        }
+        page.push_str("</svg>");
+    }
+
+    fn write_dot(&self, page: &mut String, event: &Event) {
+        let lane = self.lanes.get(&*event.process).copied().unwrap_or(0);
+        let y = lane * LANE_PX + LANE_PX / 2 + 5;
+        let (x, colour) = (self.x_px(event), self.colour(event));
+        let title = escape(&format!(
+            "{} {} {}",
+            event.kind,
+            event.trace,
+            format_fields(&event.fields)
+        ));
+        let _ = write!(
+            page,
+            "<circle cx=\"{x}\" cy=\"{y}\" r=\"5\" fill=\"{colour}\" \
+             fill-opacity=\".75\"><title>{title}</title></circle>"
+        );
+    }
+
+    fn write_table(&self, page: &mut String, events: &[Event]) {
+        page.push_str(
+            "<table><tr><th>after</th><th>process</th><th>event</th><th>of</th>\
+             <th>details</th></tr>",
+        );
+        for event in events {
+            let after_ms = event.stamp.wall_ms - self.start_ms;
+            let _ = write!(
+                page,
+                "<tr><td class=\"m\">{after_ms} ms</td><td>{}</td><td style=\"color:{}\">{}</td>\
+                 <td class=\"m\">{}</td><td>{}</td></tr>",
+                escape(&event.process),
+                self.colour(event),
+                escape(&event.kind),
+                escape(&event.trace),
+                escape(&format_fields(&event.fields))
+            );
+        }
+        page.push_str("</table></html>");
+    }
+}
+
+fn part(event: &Event) -> &str {
+    event.kind.split('.').next().unwrap_or("")
+}
+
+fn escape(text: &str) -> String {
+    let escaped = text.replace('&', "&amp;").replace('<', "&lt;");
+    escaped.replace('>', "&gt;").replace('"', "&quot;")
+}
--- /dev/null
+++ b/flamingoctl/src/questionnaire.rs
@@ -0,0 +1,200 @@
+//! `flamingoctl questionnaire`.
+
+use std::{
+    path::Path,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use awc::http::{
+    Method,
+    StatusCode, //
+};
+use flamingoscale::{
+    configuration::Configuration,
+    questionnaire,
+    wire::{
+        QuestionnaireState,
+        SubmitQuestionnaire, //
+    }, //
+};
+
+use crate::{
+    cli::QuestionnaireCommand,
+    client::Client,
+    dialogue,
+    error::{
+        CommandError,
+        Result, //
+    }, //
+};
+
+/// Longest wait for a submission to be in force everywhere.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at who has it in force.
+const IN_FORCE_POLL: Duration = Duration::from_millis(250);
+
+pub(crate) async fn run(client: &Client, command: QuestionnaireCommand, json: bool) -> Result<()> {
+    match command {
+        QuestionnaireCommand::New { template, file } => new(template, &file),
+        QuestionnaireCommand::Check { file } => check(&file, json),
+        QuestionnaireCommand::Generate { file } => generate(&file),
+        QuestionnaireCommand::Diff { file } => diff(client, &file, json).await,
+        QuestionnaireCommand::Submit { base, file } => submit(client, base, &file, json).await,
+        QuestionnaireCommand::Show => show(client, json).await,
+    }
+}
+
+fn new(template: bool, file: &Path) -> Result<()> {
+    if file.exists() {
+        let message = format!("{} is there already: name another file", file.display());
+        return Err(CommandError::input(message));
+    }
+    let text = if template {
+        questionnaire::template().to_owned()
+    } else {
+        let input = std::io::stdin().lock();
+        let answers = dialogue::ask_all(input, std::io::stderr());
+        answers.map_err(|error| {
+            CommandError::input(format!("the answers ended early ({error}): start again"))
+        })?
+    };
+    std::fs::write(file, &text).map_err(|error| {
+        let file = file.display();
+        CommandError::input(format!(
+            "{file} can't be written ({error}): check its folder"
+        ))
+    })?;
+    eprintln!("written to {}; next: questionnaire check", file.display());
+    Ok(())
+}
+
+fn check(file: &Path, json: bool) -> Result<()> {
+    let (_, configuration) = read(file)?;
+    if json {
+        println!("{}", serde_json::json!({"whole": true}));
+        return Ok(());
+    }
+    println!(
+        "{} is whole: {} services, {} organisations, {} failure domains, {} trainers",
+        file.display(),
+        configuration.services.len(),
+        configuration.organisations.len(),
+        configuration.failure_domains.len(),
+        configuration.trainers.len()
+    );
+    Ok(())
+}
+
+fn generate(file: &Path) -> Result<()> {
+    let (_, configuration) = read(file)?;
+    // The configuration has no user-written map keys, so it always has a JSON form.
+    let text = serde_json::to_string_pretty(&configuration).unwrap_or_default();
+    println!("{text}");
+    Ok(())
+}
+
+async fn diff(client: &Client, file: &Path, json: bool) -> Result<()> {
+    let (text, _) = read(file)?;
+    let state: QuestionnaireState = client.get("/admin/questionnaire").await?;
+    let difference = questionnaire::difference(&state.text, &text);
+    if json {
+        let revision = state.revision;
+        println!(
+            "{}",
+            serde_json::json!({"revision": revision, "difference": difference})
+        );
+    } else if difference.is_empty() {
+        println!("nothing differs from revision {}", state.revision);
+    } else {
+        print_difference(&difference);
+    }
+    Ok(())
+}
+
+async fn show(client: &Client, json: bool) -> Result<()> {
+    let state: QuestionnaireState = client.get("/admin/questionnaire").await?;
+    if json {
+        println!("{}", serde_json::json!(state));
+        return Ok(());
+    }
+    eprintln!("revision {}", state.revision);
+    print!("{}", state.text);
+    Ok(())
+}
+
+async fn submit(client: &Client, base: Option<u64>, file: &Path, json: bool) -> Result<()> {
+    let (text, _) = read(file)?;
+    let base_revision = match base {
+        Some(base) => base,
+        None => {
+            let state: QuestionnaireState = client.get("/admin/questionnaire").await?;
+            state.revision
+        }
+    };
+    let body = SubmitQuestionnaire {
+        base_revision,
+        text: text.into(),
+    };
+    let path = "/admin/questionnaire";
+    let answer = client.send(Method::POST, path, &body).await?;
+    if answer.status == StatusCode::CONFLICT {
+        let winner: QuestionnaireState = answer.body_json()?;
+        print_difference(&winner.difference);
+        return Err(CommandError::Conflict {
+            revision: winner.revision,
+        });
+    }
+    let accepted: QuestionnaireState = answer.json()?;
+    wait_in_force(client, accepted.revision).await?;
+    if json {
+        println!("{}", serde_json::json!({"revision": accepted.revision}));
+    } else {
+        println!("revision {} is in force everywhere", accepted.revision);
+    }
+    Ok(())
+}
+
+/// Waits until every live instance says that it has the revision, or a newer one, in force.
+async fn wait_in_force(client: &Client, revision: u64) -> Result<()> {
+    let start = Instant::now();
+    loop {
+        let statuses = client.statuses().await?;
+        let all = statuses
+            .first()
+            .map_or(0, |status| status.members.len())
+            .max(statuses.len());
+        let reached = statuses
+            .iter()
+            .filter(|status| status.revision >= revision)
+            .count();
+        eprintln!("in force on {reached} of {all} instances");
+        if reached == all {
+            return Ok(());
+        }
+        if start.elapsed() > IN_FORCE_WAIT {
+            return Err(CommandError::NotEverywhere { reached, all });
+        }
+        actix_rt::time::sleep(IN_FORCE_POLL).await;
+    }
+}
+
+fn read(file: &Path) -> Result<(String, Configuration)> {
+    let text = std::fs::read_to_string(file).map_err(|error| {
+        let file = file.display();
+        CommandError::input(format!("{file} can't be read ({error}): check its path"))
+    })?;
+    match questionnaire::generate(&text) {
+        Ok(configuration) => Ok((text, configuration)),
+        Err(error) => Err(CommandError::input(format!("{}:\n{error}", file.display()))),
+    }
+}
+
+fn print_difference(lines: &[String]) {
+    for line in lines {
+        println!("{line}");
+    }
+}
--- /dev/null
+++ b/flamingoctl/src/status.rs
@@ -0,0 +1,72 @@
+//! `flamingoctl status`.
+
+use flamingoscale::wire::Status;
+
+use crate::{
+    client::Client,
+    error::Result, //
+};
+
+pub(crate) async fn run(client: &Client, json: bool) -> Result<()> {
+    let statuses = client.statuses().await?;
+    if json {
+        println!("{}", serde_json::json!(statuses));
+        return Ok(());
+    }
+    print_instances(&statuses);
+    print_endpoints(&statuses);
+    if let Some(first) = statuses.first() {
+        print_leases(first);
+    }
+    Ok(())
+}
+
+fn print_instances(statuses: &[Status]) {
+    println!("instances");
+    let Some(first) = statuses.first() else {
+        return;
+    };
+    for member in &first.members {
+        let own = statuses
+            .iter()
+            .find(|status| status.instance == member.instance);
+        let fresh = match own {
+            Some(status) if status.fresh => "fresh",
+            Some(_) => "NOT FRESH: refuses keyed requests",
+            None => "gave no answer",
+        };
+        let revision = own.map_or(member.revision, |status| status.revision);
+        println!(
+            "  {:<12}{:<12}{:<24}{:<10}revision {revision:<8}{fresh}",
+            member.instance, member.failure_domain, member.address, member.health
+        );
+    }
+}
+
+fn print_endpoints(statuses: &[Status]) {
+    println!("endpoints");
+    for endpoint in statuses.iter().flat_map(|status| &status.endpoints) {
+        let version = match endpoint.version {
+            Some(version) => format!("version {version}"),
+            None => "version unknown".to_owned(),
+        };
+        println!(
+            "  {:<20}{:<14}home {:<12}{version:<18}{} in flight",
+            endpoint.endpoint,
+            endpoint.service,
+            endpoint.home,
+            endpoint.in_flight.unwrap_or(0)
+        );
+    }
+}
+
+fn print_leases(status: &Status) {
+    println!("leases");
+    for (lease, holder) in &status.leases {
+        println!("  {lease:<24}{holder}");
+    }
+    println!("newest weights");
+    for (trainer, version) in &status.versions {
+        println!("  {trainer:<24}{version}");
+    }
+}
--- /dev/null
+++ b/flamingoctl/src/timeline.rs
@@ -0,0 +1,128 @@
+//! `flamingoctl timeline`.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    path::Path,
+    sync::Arc,
+    time::Duration, //
+};
+
+use awc::http::Method;
+use flamingoscale::{
+    timeline::{
+        merge,
+        Event, //
+    },
+    wire::Status, //
+};
+
+use crate::{
+    cli::TimelineQuery,
+    client::{
+        member_addresses,
+        Client, //
+    },
+    error::{
+        CommandError,
+        Result, //
+    },
+    html, //
+};
+
+/// Pause between two looks while following.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(500);
+
+pub(crate) async fn run(client: &Client, query: TimelineQuery, json: bool) -> Result<()> {
+    let mut reader = Reader::default();
+    let events = reader.read(client, &query).await?;
+    if let Some(file) = &query.html {
+        return write_page(file, &events);
+    }
+    print_events(&events, json);
+    if !query.follow {
+        return Ok(());
+    }
+    loop {
+        actix_rt::time::sleep(FOLLOW_PAUSE).await;
+        let events = reader.read(client, &query).await?;
+        print_events(&events, json);
+    }
+}
+
+/// Remembers what was read of each instance.
+#[derive(Default)]
+struct Reader {
+    after: HashMap<SocketAddr, u64>,
+}
+
+impl Reader {
+    async fn read(&mut self, client: &Client, query: &TimelineQuery) -> Result<Vec<Event>> {
+        let status: Status = client.get("/admin/status").await?;
+        let mut lines = Vec::new();
+        for address in member_addresses(&status) {
+            let after = self.after.entry(address).or_default();
+            let path = format!("/admin/timeline?after={after}");
+            // An instance that is gone has no events to give; the others still do.
+            let Ok(answer) = client.send_to(address, Method::GET, &path, &()).await else {
+                continue;
+            };
+            let events: Vec<Event> = answer.json()?;
+            *after = events.last().map_or(*after, |event| event.serial);
+            lines.push(events);
+        }
+        let mut events = merge(lines);
+        events.retain(|event| is_wanted(event, query));
+        Ok(events)
+    }
+}
+
+fn is_wanted(event: &Event, query: &TimelineQuery) -> bool {
+    let of_trace = query
+        .trace
+        .as_deref()
+        .is_none_or(|trace| &*event.trace == trace);
+    of_trace && event.kind.starts_with(&query.kind)
+}
+
+fn print_events(events: &[Event], json: bool) {
+    for event in events {
+        if json {
+            println!("{}", serde_json::json!(event));
+        } else {
+            println!("{}", format_event(event));
+        }
+    }
+}
+
+fn format_event(event: &Event) -> String {
+    let seconds = event.stamp.wall_ms / 1_000 % 86_400;
+    let (hours, minutes) = (seconds / 3_600, seconds / 60 % 60);
+    let time = format!(
+        "{hours:02}:{minutes:02}:{:02}.{:03}",
+        seconds % 60,
+        event.stamp.wall_ms % 1_000
+    );
+    let fields = format_fields(&event.fields);
+    let (process, kind, trace) = (&event.process, &event.kind, &event.trace);
+    format!("{time} {process:<10}{kind:<26}{trace:<24}{fields}")
+}
+
+pub(crate) fn format_fields(fields: &[(Arc<str>, String)]) -> String {
+    let pairs: Vec<String> = fields
+        .iter()
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    pairs.join(" ")
+}
+
+fn write_page(file: &Path, events: &[Event]) -> Result<()> {
+    std::fs::write(file, html::page(events)).map_err(|error| {
+        CommandError::input(format!(
+            "{} can't be written ({error}): choose another path",
+            file.display()
+        ))
+    })?;
+    eprintln!("{} events in {}", events.len(), file.display());
+    Ok(())
+}
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -27,10 +27,12 @@
 //!
 //! The design is under `docs/design/`, the words under `docs/GLOSSARY.md`.
 
+pub mod admin;
 pub mod clock;
 pub mod configuration;
 pub mod control;
 pub mod controller;
+pub mod daemon;
 pub mod demand;
 pub mod dispatch;
 pub mod engine;
