Register the handler of loads, and set the columns of status apart

Cause: the orders controller's stream of loads ended at once when nobody held its handler, which stopped the actor: no endpoint was ever known. Ruled out: the lease (the usage lease was claimed in the same run). Change: the daemon registers the handler.

--- a/flamingoctl/src/status.rs
+++ b/flamingoctl/src/status.rs
@@ -51,7 +51,7 @@
             None => "version unknown".to_owned(),
         };
         println!(
-            "  {:<20}{:<14}home {:<12}{version:<18}{} in flight",
+            "  {:<26} {:<14} home {:<12}{version:<18}{} in flight",
             endpoint.endpoint,
             endpoint.service,
             endpoint.home,
--- a/flamingoscale/src/daemon.rs
+++ b/flamingoscale/src/daemon.rs
@@ -270,21 +270,19 @@
         let (membership, membership_handler) = MembershipController::new(instance.clone());
         let (log, log_handler, control) = LogController::new(instance.clone());
         let (usage, usage_handler) = UsageController::new(instance.clone());
+        let orders = OrdersController::new(instance.clone());
         instance.set_control(control);
-        let controllers: Vec<Box<dyn Controller>> = vec![
-            Box::new(membership),
-            Box::new(OrdersController::new(instance.clone())),
-            Box::new(usage),
-        ];
-        control::start(instance.clone(), log, controllers).map_err(start_error)?;
-
         let router = PeerRouter::default()
             .membership(membership_handler)
             .log(log_handler)
             .dispatch(dispatcher.clone())
             .gateway(dispatcher.clone())
             .rollout(coordinator.clone())
-            .usage(usage_handler);
+            .usage(usage_handler)
+            .orders(orders.handler());
+        let controllers: Vec<Box<dyn Controller>> =
+            vec![Box::new(membership), Box::new(orders), Box::new(usage)];
+        control::start(instance.clone(), log, controllers).map_err(start_error)?;
         spawn_peer_thread(instance, peers, router);
         spawn_traffic_thread(dispatcher.clone(), coordinator.clone());
 
