Run the weights controller in the daemon

Cause: engines kept version 0 whatever the trainer published. Change: the controller is started with the others.

--- a/flamingoscale/src/daemon.rs
+++ b/flamingoscale/src/daemon.rs
@@ -47,6 +47,7 @@
     controller::{
         orders::OrdersController,
         usage::UsageController,
+        weights::WeightsController,
         Controller, //
     },
     dispatch::Dispatcher,
@@ -280,8 +281,12 @@
             .rollout(coordinator.clone())
             .usage(usage_handler)
             .orders(orders.handler());
-        let controllers: Vec<Box<dyn Controller>> =
-            vec![Box::new(membership), Box::new(orders), Box::new(usage)];
+        let controllers: Vec<Box<dyn Controller>> = vec![
+            Box::new(membership),
+            Box::new(orders),
+            Box::new(usage),
+            Box::new(WeightsController::new(instance.clone(), homes.clone())),
+        ];
         control::start(instance.clone(), log, controllers).map_err(start_error)?;
         spawn_peer_thread(instance, peers, router);
         spawn_traffic_thread(dispatcher.clone(), coordinator.clone());
