--- a/flamingoscale/src/dispatch.rs
+++ b/flamingoscale/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Getting one piece of work to an endpoint: entry, home, engine or plain service.
 
+mod delivery;
 mod dispatcher;
 mod entry;
 pub(crate) mod run;
@@ -22,6 +23,7 @@
     wire::{
         CompletionChunk,
         CompletionRequest,
+        KvExport,
         VersionSpan, //
     }, //
 };
@@ -145,6 +147,9 @@
     },
     /// The endpoint broke off while it ran the work; from its home to the entry, before `Done`.
     Broke,
+    /// The endpoint leaves, and this is what another can go on from; from its home to the entry,
+    /// before `Done`.
+    Moved(Box<KvExport>),
 }
 
 /// What a finished piece of work came to.
--- /dev/null
+++ b/flamingoscale/src/dispatch/delivery.rs
@@ -0,0 +1,344 @@
+//! What of one request's answer went to its caller, and what another try may add to it.
+
+use std::sync::Arc;
+
+use crate::{
+    dispatch::{
+        Summary,
+        Work,
+        WorkBody,
+        WorkEvent,
+        WorkSender, //
+    },
+    engine::run::add_span,
+    outcome::Outcome,
+    wire::{
+        CompletionChunk,
+        KvExport,
+        VersionSpan, //
+    }, //
+};
+
+/// Bytes of an answer that are held until its end, so that a try that breaks can be repeated.
+const HELD_BYTES: usize = 1 << 20;
+
+/// The caller does not listen any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Gone;
+
+/// Where the events of one request go, and which of them are held back.
+///
+/// Another try may follow where nothing of the failed one went out, or where the answer so far is
+/// exactly the exported state that the next engine goes on from.
+pub(crate) struct Delivery {
+    /// Tries during which the endpoint broke off.
+    pub(crate) broken_tries: u32,
+    /// Times that the request moved on from a leaving engine.
+    pub(crate) moves: u32,
+    /// The exported state that the next try goes on from.
+    pub(crate) base: Option<KvExport>,
+    events: WorkSender,
+    request_id: Arc<str>,
+    held: Vec<WorkEvent>,
+    held_bytes: usize,
+    hold: bool,
+    /// Parts of an answer went to the caller.
+    committed: bool,
+    /// The present try added to the answer.
+    dirty: bool,
+    /// The present try ended by moving on.
+    moving: bool,
+    text: String,
+    tokens: u32,
+}
+
+impl Delivery {
+    pub(crate) fn new(work: &Work, events: WorkSender) -> Self {
+        let hold = match &work.body {
+            WorkBody::Completion(request) => !request.stream,
+            WorkBody::Plain { .. } => true,
+        };
+        Self {
+            broken_tries: 0,
+            moves: 0,
+            base: None,
+            events,
+            request_id: work.request_id.clone(),
+            held: Vec::new(),
+            held_bytes: 0,
+            hold,
+            committed: false,
+            dirty: false,
+            moving: false,
+            text: String::new(),
+            tokens: 0,
+        }
+    }
+
+    /// Ends once the caller is gone.
+    pub(crate) async fn gone(&self) {
+        self.events.closed().await;
+    }
+
+    /// Takes in an event of the present try.
+    pub(crate) async fn take(&mut self, event: WorkEvent) -> Result<(), Gone> {
+        match event {
+            WorkEvent::Started { .. } => self.pass(event).await,
+            WorkEvent::Chunk(mut chunk) => {
+                // Repeated tries run under ids of their own; the caller sees the first.
+                chunk.id = self.request_id.clone();
+                self.text.push_str(&chunk.text);
+                self.tokens += chunk.tokens;
+                self.add(WorkEvent::Chunk(chunk)).await
+            }
+            other => self.add(other).await,
+        }
+    }
+
+    /// Takes in the state that another engine can go on from, and fills the answer up to it.
+    pub(crate) async fn moved(&mut self, export: KvExport) -> Result<(), Gone> {
+        let Some(rest) = export.text.strip_prefix(&*self.text) else {
+            return Ok(());
+        };
+        let produced = tokens_of(&export.versions);
+        if produced < self.tokens {
+            return Ok(());
+        }
+        if !rest.is_empty() {
+            let chunk = CompletionChunk {
+                id: self.request_id.clone(),
+                text: rest.to_owned(),
+                tokens: produced - self.tokens,
+                ..CompletionChunk::default()
+            };
+            self.take(WorkEvent::Chunk(chunk)).await?;
+        }
+        self.base = Some(export);
+        self.dirty = false;
+        self.moving = true;
+        self.moves += 1;
+        Ok(())
+    }
+
+    /// Whether the present try ended by moving on; asked once.
+    pub(crate) fn take_move(&mut self) -> bool {
+        std::mem::take(&mut self.moving)
+    }
+
+    /// Whether another try can't give the caller parts of two answers.
+    pub(crate) fn may_try_again(&self) -> bool {
+        !self.dirty || !self.committed
+    }
+
+    /// Forgets what a failed try left behind, before another one.
+    pub(crate) fn start_over(&mut self) {
+        if !self.dirty {
+            return;
+        }
+        self.held.clear();
+        self.held_bytes = 0;
+        self.text.clear();
+        self.tokens = 0;
+        self.base = None;
+        self.dirty = false;
+    }
+
+    /// Adds what earlier engines did to how the last try ended.
+    pub(crate) fn finish(&self, outcome: Outcome<Summary>) -> Outcome<Summary> {
+        match (outcome, &self.base) {
+            (Outcome::Ran(mut summary), Some(base)) => {
+                let told = !base.versions.is_empty() && !summary.versions.is_empty();
+                let later = std::mem::take(&mut summary.versions);
+                if told {
+                    summary.versions = base.versions.clone();
+                    for span in later {
+                        add_span(&mut summary.versions, span.version, span.tokens);
+                    }
+                }
+                summary.tokens += tokens_of(&base.versions);
+                Outcome::Ran(summary)
+            }
+            (outcome, _) => outcome,
+        }
+    }
+
+    /// Gives the caller what was held of a good answer, and the outcome.
+    pub(crate) async fn end(&mut self, outcome: Outcome<Summary>) {
+        if matches!(outcome, Outcome::Ran(_)) && self.release().await.is_err() {
+            return;
+        }
+        let _ = self.pass(WorkEvent::Done(outcome)).await;
+    }
+
+    async fn add(&mut self, event: WorkEvent) -> Result<(), Gone> {
+        self.dirty = true;
+        if !self.hold {
+            self.committed = true;
+            return self.pass(event).await;
+        }
+        self.held_bytes += size(&event);
+        self.held.push(event);
+        if self.held_bytes > HELD_BYTES {
+            self.hold = false;
+            self.release().await?;
+        }
+        Ok(())
+    }
+
+    async fn release(&mut self) -> Result<(), Gone> {
+        self.committed = true;
+        for event in std::mem::take(&mut self.held) {
+            self.pass(event).await?;
+        }
+        Ok(())
+    }
+
+    async fn pass(&self, event: WorkEvent) -> Result<(), Gone> {
+        self.events.send(event).await.map_err(|_| Gone)
+    }
+}
+
+fn tokens_of(spans: &[VersionSpan]) -> u32 {
+    spans.iter().map(|span| span.tokens).sum()
+}
+
+fn size(event: &WorkEvent) -> usize {
+    match event {
+        WorkEvent::Chunk(chunk) => chunk.text.len() + std::mem::size_of_val(chunk),
+        WorkEvent::Body(bytes) => bytes.len(),
+        _ => 0,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use futures::executor::block_on;
+
+    use super::*;
+    use crate::{
+        dispatch::{
+            Class,
+            WorkStream, //
+        },
+        wire::CompletionRequest, //
+    };
+
+    fn work(stream: bool) -> Work {
+        Work {
+            request_id: "r1".into(),
+            organisation: "org".into(),
+            key_id: None,
+            service: "draft".into(),
+            class: Class::Interactive,
+            body: WorkBody::Completion(CompletionRequest {
+                stream,
+                ..CompletionRequest::default()
+            }),
+            budget_ms: 1_000,
+            idempotent: true,
+            avoid: Vec::new(),
+            oldest_version: 0,
+            alone: false,
+        }
+    }
+
+    fn chunk(text: &str, tokens: u32) -> WorkEvent {
+        WorkEvent::Chunk(CompletionChunk {
+            id: "r1.2".into(),
+            text: text.into(),
+            tokens,
+            ..CompletionChunk::default()
+        })
+    }
+
+    fn export(text: &str, tokens: u32) -> KvExport {
+        KvExport {
+            text: text.into(),
+            versions: vec![VersionSpan { version: 4, tokens }],
+            state: "s".into(),
+        }
+    }
+
+    fn ran(tokens: u32) -> Outcome<Summary> {
+        Outcome::Ran(Summary {
+            tokens,
+            versions: vec![VersionSpan { version: 5, tokens }],
+            ..Summary::default()
+        })
+    }
+
+    async fn text(stream: &mut WorkStream) -> String {
+        let mut text = String::new();
+        while let Some(event) = stream.next().await {
+            match event {
+                WorkEvent::Chunk(chunk) => text.push_str(&chunk.text),
+                WorkEvent::Done(_) => break,
+                _ => {}
+            }
+        }
+        text
+    }
+
+    #[test]
+    fn a_failed_try_leaves_nothing_behind_where_the_answer_is_held() {
+        block_on(async {
+            let (events, mut stream) = WorkStream::channel();
+            let mut delivery = Delivery::new(&work(false), events);
+            assert_eq!(delivery.take(chunk("half", 1)).await, Ok(()));
+            assert!(delivery.may_try_again());
+            delivery.start_over();
+            assert_eq!(delivery.take(chunk("whole", 1)).await, Ok(()));
+            delivery.end(ran(1)).await;
+            assert_eq!(text(&mut stream).await, "whole");
+        });
+    }
+
+    #[test]
+    fn a_stream_that_broke_is_not_tried_again() {
+        block_on(async {
+            let (events, _stream) = WorkStream::channel();
+            let mut delivery = Delivery::new(&work(true), events);
+            assert!(delivery.may_try_again());
+            assert_eq!(delivery.take(chunk("half", 1)).await, Ok(()));
+            assert!(!delivery.may_try_again());
+        });
+    }
+
+    #[test]
+    fn a_stream_goes_on_from_an_export_without_a_gap_or_a_repeat() {
+        block_on(async {
+            let (events, mut stream) = WorkStream::channel();
+            let mut delivery = Delivery::new(&work(true), events);
+            assert_eq!(delivery.take(chunk("one two", 2)).await, Ok(()));
+            let exported = export("one two three", 3);
+            assert_eq!(delivery.moved(exported).await, Ok(()));
+            assert!(delivery.take_move() && delivery.may_try_again());
+            assert_eq!(delivery.take(chunk(" four", 1)).await, Ok(()));
+            let outcome = delivery.finish(ran(1));
+            let Outcome::Ran(summary) = &outcome else {
+                panic!("it ran");
+            };
+            assert_eq!(summary.tokens, 4);
+            let spans: Vec<_> = summary
+                .versions
+                .iter()
+                .map(|s| (s.version, s.tokens))
+                .collect();
+            assert_eq!(spans, [(4, 3), (5, 1)]);
+            delivery.end(outcome).await;
+            assert_eq!(text(&mut stream).await, "one two three four");
+        });
+    }
+
+    #[test]
+    fn an_export_that_does_not_fit_the_answer_is_not_gone_on_from() {
+        block_on(async {
+            let (events, _stream) = WorkStream::channel();
+            let mut delivery = Delivery::new(&work(true), events);
+            assert_eq!(delivery.take(chunk("one two", 2)).await, Ok(()));
+            assert_eq!(delivery.moved(export("another", 3)).await, Ok(()));
+            assert!(!delivery.take_move());
+            assert!(!delivery.may_try_again());
+        });
+    }
+}
--- a/flamingoscale/src/dispatch/dispatcher.rs
+++ b/flamingoscale/src/dispatch/dispatcher.rs
@@ -29,6 +29,8 @@
     },
     gateway::{
         self,
+        idempotency::owners::Owners,
+        limit::lending::Lending,
         quarantine::QuarantineTable, //
     },
     home::{
@@ -59,6 +61,8 @@
     pub(crate) instance: Arc<Instance>,
     pub(crate) desk: Arc<Desk>,
     pub(crate) quarantine: Arc<QuarantineTable>,
+    pub(crate) owners: Arc<Owners>,
+    pub(crate) lending: Arc<Lending>,
     retry_budget: Mutex<RetryBudget>,
     routes: ArcSwap<RouteTable>,
     building: Mutex<()>,
@@ -77,8 +81,10 @@
             });
             Self {
                 desk: Desk::new(instance.clone(), on_crash),
-                instance,
                 quarantine: Arc::default(),
+                owners: Owners::new(instance.clone()),
+                lending: Lending::new(instance.clone()),
+                instance,
                 retry_budget: Mutex::default(),
                 routes: ArcSwap::default(),
                 building: Mutex::default(),
@@ -92,6 +98,7 @@
         let reading: Rc<RefCell<HashSet<EndpointKey>>> = Rc::default();
         loop {
             self.routes();
+            self.owners.follow_members();
             for (key, address) in self.desk.targets() {
                 if reading.borrow_mut().insert(key) {
                     let (me, reading) = (self.clone(), reading.clone());
@@ -106,9 +113,27 @@
     }
 
     /// Reads one endpoint's status now.
-    pub(crate) async fn read_status(&self, key: EndpointKey, address: &str) {
+    pub(crate) async fn read_status(&self, key: EndpointKey, address: &str) -> bool {
         let read = async { HttpEngineControl.status(address).await.ok() };
-        self.desk.refresh(key, read).await;
+        self.desk.refresh(key, read).await
+    }
+
+    /// Finds out whether an endpoint that broke off has crashed, so that what it ran is suspect
+    /// before anybody sends it again. The second read is on a new connection.
+    pub(crate) async fn look_for_crash(&self, key: EndpointKey, address: &str) {
+        for _ in 0..2 {
+            if self.read_status(key, address).await {
+                return;
+            }
+        }
+        self.desk.lost(key);
+    }
+
+    /// A suspect ran alone and did no harm: tells all members.
+    pub(crate) fn cleared(&self, fingerprint: u64) {
+        if self.quarantine.clear(fingerprint) {
+            self.tell_members(&gateway::Message::Cleared { fingerprint });
+        }
     }
 
     /// The routes of the present view.
@@ -128,6 +153,52 @@
         built
     }
 
+    /// Answers what a peer's gateway asks.
+    async fn answer(&self, message: gateway::Message) -> gateway::Reply {
+        let now_ms = self.instance.now_ms();
+        match message {
+            gateway::Message::Suspect {
+                fingerprint,
+                crashes,
+            } => self.quarantine.merge(fingerprint, crashes, now_ms),
+            gateway::Message::Cleared { fingerprint } => {
+                self.quarantine.clear(fingerprint);
+            }
+            gateway::Message::Claim { key, fingerprint } => {
+                let claim = self.owners.claim_here(key, fingerprint).await;
+                return gateway::Reply::Claimed(claim);
+            }
+            gateway::Message::Ask {
+                key,
+                fingerprint,
+                hold,
+            } => {
+                let claim = self.owners.asked(key, fingerprint, hold);
+                return gateway::Reply::Claimed(claim);
+            }
+            gateway::Message::Finish {
+                key,
+                fingerprint,
+                progress,
+            } => self.owners.finished(key, fingerprint, progress),
+            gateway::Message::Adopt { copies } => self.owners.adopt(copies),
+            gateway::Message::Borrow {
+                organisation,
+                tokens,
+            } => {
+                return match self.lending.lend(&organisation, tokens) {
+                    Ok(()) => gateway::Reply::Lent,
+                    Err(retry_after_ms) => gateway::Reply::NothingLeft { retry_after_ms },
+                };
+            }
+            gateway::Message::GiveBack {
+                organisation,
+                tokens,
+            } => self.lending.given_back(&organisation, tokens),
+        }
+        gateway::Reply::Taken
+    }
+
     /// Counts a crash against what was in flight, here and at all members.
     fn crashed(&self, endpoint: EndpointKey, fingerprints: &[u64]) {
         let count = fingerprints.len();
@@ -221,13 +292,11 @@
                     me.run_as_home(endpoint, *work, forwarded, &events).await;
                 });
             }
-            PeerRequest::Gateway(gateway::Message::Suspect {
-                fingerprint,
-                crashes,
-            }) => {
-                let now_ms = self.instance.now_ms();
-                self.quarantine.merge(fingerprint, crashes, now_ms);
-                let _ = reply.try_send(PeerReply::Gateway(gateway::Reply::Taken));
+            PeerRequest::Gateway(message) => {
+                actix_rt::spawn(async move {
+                    let answer = me.answer(message).await;
+                    let _ = reply.send(PeerReply::Gateway(answer)).await;
+                });
             }
             _ => {}
         }
--- a/flamingoscale/src/dispatch/entry.rs
+++ b/flamingoscale/src/dispatch/entry.rs
@@ -12,6 +12,10 @@
 
 use crate::{
     dispatch::{
+        delivery::{
+            Delivery,
+            Gone, //
+        },
         Dispatcher,
         Message,
         Summary,
@@ -56,119 +60,25 @@
 /// Endpoints that may break off under one request before it is given up.
 const MOST_BROKEN_TRIES: u32 = 2;
 
-/// Bytes of an answer that are held until its end, so that a try that breaks can be repeated.
-const HELD_BYTES: usize = 1 << 20;
+/// Endpoints that one request may move away from because they leave.
+const MOST_MOVES: u32 = 8;
 
 /// When a caller may come back while no endpoint is there.
 const NO_ENDPOINT_RETRY_MS: u64 = 2_000;
 
-/// Where the events of one request go, and which of them are held back.
-struct Delivery {
-    events: WorkSender,
-    request_id: Arc<str>,
-    held: Vec<WorkEvent>,
-    held_bytes: usize,
-    hold: bool,
-    /// Events of the present try were passed on: no other try may follow.
-    committed: bool,
-    /// Tries during which the endpoint broke off.
-    broken_tries: u32,
-}
-
-/// The caller does not listen any more.
-struct Gone;
-
-impl Delivery {
-    fn new(work: &Work, events: WorkSender) -> Self {
-        let hold = match &work.body {
-            WorkBody::Completion(request) => !request.stream,
-            WorkBody::Plain { .. } => true,
-        };
-        Self {
-            events,
-            request_id: work.request_id.clone(),
-            held: Vec::new(),
-            held_bytes: 0,
-            hold,
-            committed: false,
-            broken_tries: 0,
-        }
-    }
-
-    async fn take(&mut self, event: WorkEvent) -> Result<(), Gone> {
-        let event = self.under_first_id(event);
-        if matches!(event, WorkEvent::Started { .. }) {
-            return self.pass(event).await;
-        }
-        if !self.hold {
-            self.committed = true;
-            return self.pass(event).await;
-        }
-        self.held_bytes += size(&event);
-        self.held.push(event);
-        if self.held_bytes > HELD_BYTES {
-            self.hold = false;
-            self.release().await?;
-        }
-        Ok(())
-    }
-
-    /// Forgets what a failed try left behind.
-    fn forget(&mut self) {
-        self.held.clear();
-        self.held_bytes = 0;
-    }
-
-    async fn release(&mut self) -> Result<(), Gone> {
-        self.committed = true;
-        for event in std::mem::take(&mut self.held) {
-            self.pass(event).await?;
-        }
-        Ok(())
-    }
-
-    async fn pass(&self, event: WorkEvent) -> Result<(), Gone> {
-        self.events.send(event).await.map_err(|_| Gone)
-    }
-
-    /// Repeated tries run under ids of their own; the caller sees the first.
-    fn under_first_id(&self, event: WorkEvent) -> WorkEvent {
-        match event {
-            WorkEvent::Chunk(mut chunk) => {
-                chunk.id = self.request_id.clone();
-                WorkEvent::Chunk(chunk)
-            }
-            other => other,
-        }
-    }
-}
-
-fn size(event: &WorkEvent) -> usize {
-    match event {
-        WorkEvent::Chunk(chunk) => chunk.text.len() + std::mem::size_of_val(chunk),
-        WorkEvent::Body(bytes) => bytes.len(),
-        _ => 0,
-    }
-}
-
 impl Dispatcher {
     /// Runs work until one try succeeds or no other may follow.
     pub(crate) async fn run_as_entry(self: Arc<Self>, work: Work, events: WorkSender) {
         let request_id = work.request_id.clone();
         let mut delivery = Delivery::new(&work, events);
         self.retry_budget().earn();
-        let outcome = match self.tries(work, &mut delivery).await {
-            Ok(outcome) => outcome,
+        match self.tries(work, &mut delivery).await {
+            Ok(outcome) => delivery.end(outcome).await,
             Err(Gone) => {
                 let line = &self.instance.timeline;
                 line.record("dispatch.cancelled", &request_id, &[]);
-                return;
             }
-        };
-        if matches!(outcome, Outcome::Ran(_)) && delivery.release().await.is_err() {
-            return;
         }
-        let _ = delivery.pass(WorkEvent::Done(outcome)).await;
     }
 
     async fn tries(
@@ -187,10 +97,16 @@
             }
             work.budget_ms = left_ms;
             let outcome = self.one_try(&mut work, number, delivery).await?;
-            let stop = delivery.committed || delivery.broken_tries >= MOST_BROKEN_TRIES;
+            let outcome = delivery.finish(outcome);
+            let stop = !delivery.may_try_again() || delivery.broken_tries >= MOST_BROKEN_TRIES;
             if matches!(outcome, Outcome::Ran(_)) || stop {
                 return Ok(outcome);
             }
+            number += 1;
+            if delivery.take_move() && delivery.moves <= MOST_MOVES {
+                self.record_retry(&work, &outcome, 0);
+                continue;
+            }
             // What was there when an endpoint broke off may have caused it.
             work.alone |= delivery.broken_tries > 0;
             let left_ms = deadline_ms.saturating_sub(self.instance.now_ms());
@@ -203,11 +119,10 @@
                 return Ok(outcome);
             }
             self.record_retry(&work, &outcome, wait_ms);
-            delivery.forget();
-            number += 1;
+            delivery.start_over();
             tokio::select! {
                 () = tokio::time::sleep(Duration::from_millis(wait_ms)) => {}
-                () = delivery.events.closed() => return Err(Gone),
+                () = delivery.gone() => return Err(Gone),
             }
         }
     }
@@ -243,6 +158,9 @@
             // The engine may still run the first try; its cancellation must not hit this one.
             sent.request_id = format!("{}.{number}", work.request_id).into();
         }
+        if let WorkBody::Completion(request) = &mut sent.body {
+            request.resume = delivery.base.clone();
+        }
         let mut stream = self.open(&endpoint, sent);
         let outcome = self.follow(&endpoint, work, &mut stream, delivery).await?;
         self.learn(&endpoint, work, &outcome);
@@ -312,7 +230,7 @@
             let left = deadline.saturating_duration_since(Instant::now());
             let event = tokio::select! {
                 event = timeout(HOME_SILENCE.min(left), stream.next()) => event,
-                () = delivery.events.closed() => return Err(Gone),
+                () = delivery.gone() => return Err(Gone),
             };
             match event {
                 Ok(Some(WorkEvent::Done(outcome))) => return Ok(outcome),
@@ -320,6 +238,7 @@
                     endpoint.load.report(requests, self.instance.now_ms());
                 }
                 Ok(Some(WorkEvent::Broke)) => delivery.broken_tries += 1,
+                Ok(Some(WorkEvent::Moved(export))) => delivery.moved(*export).await?,
                 Ok(Some(event)) => delivery.take(event).await?,
                 Ok(None) => return Ok(Outcome::Unknown("the home ended early".into())),
                 Err(_) => {
--- a/flamingoscale/src/dispatch/run.rs
+++ b/flamingoscale/src/dispatch/run.rs
@@ -1,6 +1,7 @@
 //! The home's side: a place in the queue, then one try at the endpoint.
 
 use std::{
+    cell::Cell,
     future::Future,
     sync::Arc,
     time::Duration, //
@@ -27,7 +28,8 @@
     engine::run::{
         completion,
         Target,
-        TryEnd, //
+        TryEnd,
+        Watch, //
     },
     home::table::{
         Offer,
@@ -73,6 +75,12 @@
 /// What a plain call is expected to cost, in tokens.
 const PLAIN_CALL_TOKENS: u64 = 16;
 
+/// Time between two looks at whether an endpoint leaves.
+const LEAVING_CHECK: Duration = Duration::from_millis(100);
+
+/// Time that moving a completion away from a leaving endpoint may take.
+const MOVE_MARGIN_MS: u64 = 500;
+
 /// When to try again after the home of an endpoint moved.
 const MOVED_RETRY_MS: u64 = 100;
 
@@ -133,6 +141,9 @@
         if end.broke {
             let _ = events.send(WorkEvent::Broke).await;
         }
+        if let Some(export) = end.moved {
+            let _ = events.send(WorkEvent::Moved(export)).await;
+        }
         let requests = self.desk.requests(key);
         let _ = events.send(WorkEvent::Load { requests }).await;
         let _ = events.send(WorkEvent::Done(end.outcome)).await;
@@ -197,10 +208,13 @@
         let end = self.run_at(&target, work, events, deadline).await;
         if end.broke {
             place.broke();
+            drop(place);
+            self.look_for_crash(key, &target.address).await;
+            return Some(end);
         }
         if let Outcome::Ran(summary) = &end.outcome {
             if work.alone {
-                self.quarantine.clear(work.fingerprint());
+                self.cleared(work.fingerprint());
             }
             place.used(Use {
                 tokens: used_tokens(work, summary),
@@ -250,7 +264,13 @@
         deadline: Instant,
     ) -> TryEnd {
         let before = self.desk.reading(target.key);
-        let mut end = completion(target, work, request, events, deadline).await;
+        let progress = Cell::new(0);
+        let watch = Watch {
+            deadline,
+            progress: &progress,
+            must_move: Box::pin(self.must_move(target.key, request.max_tokens, &progress)),
+        };
+        let mut end = completion(target, work, request, events, watch).await;
         if let Outcome::Ran(summary) = &mut end.outcome {
             if summary.versions.is_empty() && summary.tokens > 0 {
                 summary.versions = self.versions_read(target, before, summary.tokens).await;
@@ -259,6 +279,23 @@
         end
     }
 
+    /// Ends when an endpoint goes before a completion there would end at its present speed.
+    async fn must_move(&self, key: EndpointKey, max_tokens: u32, progress: &Cell<u32>) {
+        let started = Instant::now();
+        loop {
+            tokio::time::sleep(LEAVING_CHECK).await;
+            let Some(left_ms) = self.desk.leaving_in_ms(key) else {
+                continue;
+            };
+            let ran_ms = started.elapsed().as_millis() as u64;
+            let done = u64::from(progress.get()).max(1);
+            let todo = u64::from(max_tokens).saturating_sub(done);
+            if ran_ms * todo / done + MOVE_MARGIN_MS > left_ms {
+                return;
+            }
+        }
+    }
+
     /// The versions of a completion whose engine told none: known only where the readings before
     /// and after agree.
     async fn versions_read(
--- a/flamingoscale/src/engine/client.rs
+++ b/flamingoscale/src/engine/client.rs
@@ -1,12 +1,18 @@
 //! HTTP clients towards endpoints, one a thread and address.
 //!
-//! A connection that goes silent may have taken others with it, so the whole client of that
-//! address is dropped and the next request opens new connections.
+//! A connection that goes silent may have taken others with it, so the clients of that address
+//! are dropped on all threads, and the next request opens new connections.
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
-    sync::Arc,
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::{
+        Arc,
+        RwLock, //
+    },
     time::Duration, //
 };
 
@@ -38,28 +44,49 @@
 const UNREACHABLE_RETRY_MS: u64 = 500;
 
 thread_local! {
-    static CLIENTS: RefCell<HashMap<Arc<str>, Client>> = RefCell::new(HashMap::new());
+    /// Clients can't cross threads, so each thread keeps its own, with the generation of their
+    /// address at the time.
+    static CLIENTS: RefCell<HashMap<Arc<str>, (u64, Client)>> = RefCell::new(HashMap::new());
 }
 
+/// Grows for an address when its open connections must not be used any more.
+static GENERATIONS: RwLock<BTreeMap<Arc<str>, u64>> = RwLock::new(BTreeMap::new());
+
 /// The client for an endpoint, with its open connections.
 pub(crate) fn pooled(address: &Arc<str>) -> Client {
+    let generation = generation(address);
     CLIENTS.with_borrow_mut(|clients| {
         if clients.len() >= KEPT_CLIENTS && !clients.contains_key(address) {
             clients.clear();
         }
         let entry = clients.entry(address.clone());
-        entry.or_insert_with(|| build(KEEP_ALIVE)).clone()
+        let (kept, client) = entry.or_insert_with(|| (generation, build(KEEP_ALIVE)));
+        if *kept != generation {
+            *kept = generation;
+            *client = build(KEEP_ALIVE);
+        }
+        client.clone()
     })
 }
 
+fn generation(address: &str) -> u64 {
+    let generations = GENERATIONS
+        .read()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
+    generations.get(address).copied().unwrap_or(0)
+}
+
 /// A client with no open connection, for requests that must not meet a silent one.
 pub(crate) fn fresh() -> Client {
     build(Duration::ZERO)
 }
 
-/// Forgets the open connections to an endpoint.
-pub(crate) fn forget(address: &str) {
-    CLIENTS.with_borrow_mut(|clients| clients.remove(address));
+/// Forgets the open connections to an endpoint, on all threads.
+pub(crate) fn forget(address: &Arc<str>) {
+    let mut generations = GENERATIONS
+        .write()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
+    *generations.entry(address.clone()).or_default() += 1;
 }
 
 fn build(keep_alive: Duration) -> Client {
--- a/flamingoscale/src/engine/http.rs
+++ b/flamingoscale/src/engine/http.rs
@@ -23,6 +23,7 @@
         CacheEvents,
         EndpointStatus,
         EngineOrder,
+        KvExport,
         RequestRef, //
     }, //
 };
@@ -30,6 +31,9 @@
 /// Longest wait for an answer of the control face.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Longest wait for exported KV cache.
+const EXPORT_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// Largest answer of the control face.
 const LARGEST_ANSWER_BYTES: usize = 16 << 20;
 
@@ -97,3 +101,19 @@
     let sent = client::fresh().post(url).force_close().send_json(&body);
     let _ = tokio::time::timeout(CONTROL_TIMEOUT, sent).await;
 }
+
+/// Takes the KV cache of a running request out of an engine, to go on with at another.
+pub(crate) async fn export(address: Arc<str>, request_id: Arc<str>) -> Option<KvExport> {
+    let url = format!("http://{address}/v1/kv/export");
+    let body = RequestRef { request_id };
+    let ask = async {
+        let sent = client::fresh().post(url).force_close().send_json(&body);
+        let mut response = sent.await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let body = response.json::<KvExport>().limit(LARGEST_ANSWER_BYTES);
+        body.await.ok()
+    };
+    tokio::time::timeout(EXPORT_TIMEOUT, ask).await.ok()?
+}
--- a/flamingoscale/src/engine/run.rs
+++ b/flamingoscale/src/engine/run.rs
@@ -1,6 +1,7 @@
 //! One completion on one engine: the request, the event stream, the proof of what ran.
 
 use std::{
+    cell::Cell,
     sync::Arc,
     time::Duration, //
 };
@@ -9,7 +10,10 @@
     http::StatusCode,
     ClientResponse, //
 };
-use futures::StreamExt as _;
+use futures::{
+    future::LocalBoxFuture,
+    StreamExt as _, //
+};
 use tokio::time::{
     timeout,
     Instant, //
@@ -36,6 +40,7 @@
     wire::{
         CompletionChunk,
         CompletionRequest,
+        KvExport,
         VersionSpan,
         ENDPOINT_HEADER,
         ORGANISATION_HEADER,
@@ -66,13 +71,24 @@
     pub(crate) outcome: Outcome<Summary>,
     /// The endpoint broke off while it had the request, as in a crash.
     pub(crate) broke: bool,
+    /// What another engine can go on from.
+    pub(crate) moved: Option<Box<KvExport>>,
 }
 
 impl TryEnd {
+    pub(crate) fn ran(summary: Summary) -> Self {
+        Self {
+            outcome: Outcome::Ran(summary),
+            broke: false,
+            moved: None,
+        }
+    }
+
     pub(crate) fn not_run(not_run: NotRun) -> Self {
         Self {
             outcome: Outcome::NotRun(not_run),
             broke: false,
+            moved: None,
         }
     }
 
@@ -80,6 +96,7 @@
         Self {
             outcome: Outcome::Unknown(reason.into()),
             broke: false,
+            moved: None,
         }
     }
 
@@ -87,30 +104,34 @@
         Self {
             outcome: Outcome::Unknown(reason.into()),
             broke: true,
+            moved: None,
         }
     }
 }
 
-/// Runs a completion until its end, the deadline, or until nobody listens any more.
+/// Runs a completion until its end, the deadline, until nobody listens any more, or until
+/// `must_move` says that the engine goes before the end; then its KV cache is taken along.
+/// `progress` is told how many tokens there are.
 pub(crate) async fn completion(
     target: &Target,
     work: &Work,
     request: &CompletionRequest,
     events: &WorkSender,
-    deadline: Instant,
+    watch: Watch<'_>,
 ) -> TryEnd {
-    let response = match send(target, work, request, deadline).await {
+    let mut response = match send(target, work, request, watch.deadline).await {
         Ok(response) => response,
         Err(end) => return end,
     };
     if let Err(end) = check_head(target, &response) {
         return end;
     }
-    let mut reader = Reader::new(target, work, events);
+    let mut reader = Reader::new(target, work, events, watch.progress);
     let end = tokio::select! {
-        end = reader.read(response) => end,
+        end = reader.read(&mut response) => end,
         () = events.closed() => TryEnd::unknown("the caller is gone"),
-        () = tokio::time::sleep_until(deadline) => TryEnd::unknown("the deadline passed"),
+        () = tokio::time::sleep_until(watch.deadline) => TryEnd::unknown("the deadline passed"),
+        () = watch.must_move => take_along(target, work).await,
     };
     if !matches!(end.outcome, Outcome::Ran(_)) {
         stop(target, work);
@@ -118,6 +139,25 @@
     end
 }
 
+/// What a running completion is watched by.
+pub(crate) struct Watch<'a> {
+    /// When it is given up.
+    pub(crate) deadline: Instant,
+    /// The tokens so far.
+    pub(crate) progress: &'a Cell<u32>,
+    /// Ends when the engine goes before the completion does.
+    pub(crate) must_move: LocalBoxFuture<'a, ()>,
+}
+
+/// Exports the KV cache of a request that nobody reads from any more.
+async fn take_along(target: &Target, work: &Work) -> TryEnd {
+    let address = target.address.clone();
+    let export = http::export(address, work.request_id.clone()).await;
+    let mut end = TryEnd::unknown("the engine is leaving");
+    end.moved = export.map(Box::new);
+    end
+}
+
 /// Tells the engine to stop, without waiting for it.
 fn stop(target: &Target, work: &Work) {
     let cancel = http::cancel(target.address.clone(), work.request_id.clone());
@@ -144,7 +184,11 @@
         Ok(Err(error)) => {
             let outcome = client::failed_send(&error);
             let broke = matches!(outcome, Outcome::Unknown(_));
-            Err(TryEnd { outcome, broke })
+            Err(TryEnd {
+                outcome,
+                broke,
+                moved: None,
+            })
         }
         Err(_) => {
             // The connection may have gone silent, and others to the same address with it.
@@ -185,12 +229,18 @@
     events: &'a WorkSender,
     parser: EventParser,
     summary: Summary,
+    progress: &'a Cell<u32>,
     versions_told: bool,
     finished: bool,
 }
 
 impl<'a> Reader<'a> {
-    fn new(target: &'a Target, work: &'a Work, events: &'a WorkSender) -> Self {
+    fn new(
+        target: &'a Target,
+        work: &'a Work,
+        events: &'a WorkSender,
+        progress: &'a Cell<u32>,
+    ) -> Self {
         Self {
             target,
             work,
@@ -200,12 +250,13 @@
                 endpoint: target.key,
                 ..Summary::default()
             },
+            progress,
             versions_told: true,
             finished: false,
         }
     }
 
-    async fn read(&mut self, mut response: ClientResponse) -> TryEnd {
+    async fn read(&mut self, response: &mut ClientResponse) -> TryEnd {
         loop {
             let bytes = match timeout(BETWEEN_BYTES, response.next()).await {
                 Ok(Some(Ok(bytes))) => bytes,
@@ -252,6 +303,7 @@
 
     fn add(&mut self, chunk: &CompletionChunk) {
         self.summary.tokens += chunk.tokens;
+        self.progress.set(self.summary.tokens);
         if let Some(reason) = &chunk.finish_reason {
             self.summary.finish_reason = reason.clone();
             self.finished = true;
@@ -271,10 +323,7 @@
         if !self.versions_told {
             summary.versions.clear();
         }
-        TryEnd {
-            outcome: Outcome::Ran(summary),
-            broke: false,
-        }
+        TryEnd::ran(summary)
     }
 }
 
--- a/flamingoscale/src/gateway.rs
+++ b/flamingoscale/src/gateway.rs
@@ -10,9 +10,9 @@
 mod dispatch;
 mod entries;
 mod http;
-mod idempotency;
+pub mod idempotency;
 mod key;
-mod limit;
+pub(crate) mod limit;
 pub(crate) mod quarantine;
 mod route;
 mod stream;
@@ -40,8 +40,16 @@
             Chain,
             Filter, //
         },
-        idempotency::IdempotencyTable,
-        limit::LimitTable,
+        idempotency::{
+            owners::Owners,
+            table::{
+                Claim,
+                KeyCopy,
+                Progress,
+                ScopedKey, //
+            }, //
+        },
+        limit::lending::Lending,
         quarantine::QuarantineTable, //
     },
     instance::Instance, //
@@ -58,6 +66,55 @@
         /// How many crashes it was seen in.
         crashes: u32,
     },
+    /// Is this the first request with the key? Asked of the key's owner.
+    Claim {
+        /// The key.
+        key: ScopedKey,
+        /// The fingerprint of its request.
+        fingerprint: u64,
+    },
+    /// What do you know of this key? Asked by its owner.
+    Ask {
+        /// The key.
+        key: ScopedKey,
+        /// The fingerprint of its request.
+        fingerprint: u64,
+        /// Whether to note that its request started, if it is not known.
+        hold: bool,
+    },
+    /// The request of this key ended.
+    Finish {
+        /// The key.
+        key: ScopedKey,
+        /// The fingerprint of its request.
+        fingerprint: u64,
+        /// How it ended; none where it did not run.
+        progress: Option<Progress>,
+    },
+    /// Keys that the receiver has to remember from now on.
+    Adopt {
+        /// What is known of them.
+        copies: Vec<KeyCopy>,
+    },
+    /// Lend me tokens of an organisation's limit.
+    Borrow {
+        /// The organisation.
+        organisation: Arc<str>,
+        /// How many.
+        tokens: u64,
+    },
+    /// These tokens were not used.
+    GiveBack {
+        /// The organisation.
+        organisation: Arc<str>,
+        /// How many.
+        tokens: u64,
+    },
+    /// This fingerprint ran alone and did no harm.
+    Cleared {
+        /// The request's fingerprint.
+        fingerprint: u64,
+    },
 }
 
 /// Answers to [`Message`].
@@ -66,6 +123,15 @@
 pub enum Reply {
     /// Done.
     Taken,
+    /// To [`Message::Claim`] and [`Message::Ask`].
+    Claimed(Claim),
+    /// To [`Message::Borrow`]: all of them.
+    Lent,
+    /// To [`Message::Borrow`]: the limit is used up.
+    NothingLeft {
+        /// Milliseconds until there will be some.
+        retry_after_ms: u64,
+    },
 }
 
 /// The entry for callers of one instance.
@@ -81,9 +147,9 @@
 pub(crate) struct Shared {
     pub(crate) instance: Arc<Instance>,
     pub(crate) dispatch: Arc<dyn Dispatch>,
-    pub(crate) limits: Arc<LimitTable>,
+    pub(crate) lending: Arc<Lending>,
     pub(crate) quarantine: Arc<QuarantineTable>,
-    pub(crate) idempotency: Arc<IdempotencyTable>,
+    pub(crate) owners: Arc<Owners>,
 }
 
 impl Gateway {
@@ -91,9 +157,9 @@
     pub fn new(instance: Arc<Instance>, dispatcher: Arc<Dispatcher>) -> Arc<Self> {
         let shared = Shared {
             instance: instance.clone(),
-            limits: Arc::default(),
+            lending: dispatcher.lending.clone(),
             quarantine: dispatcher.quarantine.clone(),
-            idempotency: Arc::default(),
+            owners: dispatcher.owners.clone(),
             dispatch: dispatcher,
         };
         Arc::new(Self {
--- a/flamingoscale/src/gateway/answer.rs
+++ b/flamingoscale/src/gateway/answer.rs
@@ -72,6 +72,11 @@
     KeyWithdrawn,
     /// The idempotency key's first request is still running, or its outcome is unknown.
     Earlier,
+    /// Nobody knows whether the idempotency key came before.
+    NoVouching {
+        /// When to ask again, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 /// How a request ended.
--- a/flamingoscale/src/gateway/chain.rs
+++ b/flamingoscale/src/gateway/chain.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     configuration::{
@@ -53,11 +54,21 @@
         left.as_millis() as u64
     }
 
-    /// The request's text, by which one that crashes endpoints is told apart, and by which a
-    /// repeated idempotency key must come with the same request.
+    /// The request's text, by which one that crashes endpoints is told apart.
     pub(crate) fn fingerprint(&self) -> u64 {
         crate::dispatch::fingerprint(&self.service_name, &self.body)
     }
+
+    /// All of the request, by which a repeated idempotency key must come with the same one.
+    pub(crate) fn whole_fingerprint(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(&self.fingerprint().to_le_bytes());
+        if let WorkBody::Completion(request) = &self.body {
+            hasher.update(&request.seed.to_le_bytes());
+            hasher.update(&[u8::from(request.stream)]);
+        }
+        hasher.digest()
+    }
 }
 
 /// A step of the chain.
--- a/flamingoscale/src/gateway/http.rs
+++ b/flamingoscale/src/gateway/http.rs
@@ -306,8 +306,7 @@
     line.record("gateway.refused", request_id, &[("kind", &kind)]);
     let mut response = head(status, &[], "not-run", request_id);
     if let Some(after_ms) = not_run.retry_after_ms {
-        let seconds = after_ms.div_ceil(1_000).max(1);
-        response.insert_header(("retry-after", seconds.to_string()));
+        response.insert_header(("retry-after", seconds(after_ms)));
     }
     response.json(error_body(kind, &message))
 }
@@ -319,12 +318,22 @@
         Cause::Deadline => (504, "deadline"),
         Cause::KeyWithdrawn => (401, "key_withdrawn"),
         Cause::Earlier => (409, "idempotency"),
+        Cause::NoVouching { .. } => (503, "idempotency"),
     };
     let reason = &broken.reason;
     let line = &gateway.instance.timeline;
     line.record("gateway.unknown", request_id, &[("reason", reason)]);
     let message = format!("{reason}: it may have run; repeat it only if that does no harm");
-    head(status, &[], "unknown", request_id).json(error_body(kind, &message))
+    let mut response = head(status, &[], "unknown", request_id);
+    if let Cause::NoVouching { retry_after_ms } = broken.cause {
+        response.insert_header(("retry-after", seconds(retry_after_ms)));
+    }
+    response.json(error_body(kind, &message))
+}
+
+/// Milliseconds as the whole seconds of a header.
+fn seconds(after_ms: u64) -> String {
+    after_ms.div_ceil(1_000).max(1).to_string()
 }
 
 pub(crate) fn error_body(kind: &str, message: &str) -> ErrorBody {
--- a/flamingoscale/src/gateway/idempotency.rs
+++ b/flamingoscale/src/gateway/idempotency.rs
@@ -2,12 +2,13 @@
 //!
 //! See `docs/design/idempotency.md`.
 
-pub(crate) mod table;
+pub(crate) mod owners;
+pub mod table;
+mod vouching;
 
-use std::sync::{
-    Arc,
-    Mutex,
-    MutexGuard, //
+use std::{
+    sync::Arc,
+    time::Duration, //
 };
 
 use futures::future::LocalBoxFuture;
@@ -17,6 +18,7 @@
     gateway::{
         answer::{
             Answer,
+            Broken,
             Cause,
             Whole, //
         },
@@ -25,16 +27,17 @@
             Filter,
             Next, //
         },
-        idempotency::table::{
-            Claim,
-            KeptAnswer,
-            KeyMemory,
-            Progress,
-            ScopedKey, //
+        idempotency::{
+            owners::Owners,
+            table::{
+                Claim,
+                KeptAnswer,
+                Progress,
+                ScopedKey, //
+            }, //
         },
         Shared, //
     },
-    instance::Instance,
     outcome::{
         NotRun,
         Refusal, //
@@ -44,71 +47,66 @@
 /// Largest answer that is kept for a repeated request.
 const LARGEST_KEPT_BYTES: usize = 256 << 10;
 
+/// Longest time that an answer waits for the key's owners to take it in.
+const FINISH_WAIT: Duration = Duration::from_millis(500);
+
 /// When to try again while no more keys can be remembered.
 const FULL_RETRY_MS: u64 = 10_000;
 
-/// The keys that this instance remembers.
-#[derive(Debug, Default)]
-pub(crate) struct IdempotencyTable {
-    memory: Mutex<KeyMemory>,
-}
-
-impl IdempotencyTable {
-    pub(crate) fn memory(&self) -> MutexGuard<'_, KeyMemory> {
-        self.memory
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
-    }
-}
+/// When to try again while nobody can vouch for a key's past.
+const NO_VOUCHING_RETRY_MS: u64 = 2_000;
 
 /// Runs the first request of a key and answers the others from memory.
 pub(crate) struct Idempotency {
-    instance: Arc<Instance>,
-    table: Arc<IdempotencyTable>,
+    owners: Arc<Owners>,
 }
 
 impl Idempotency {
     pub(crate) fn new(shared: &Shared) -> Self {
         Self {
-            instance: shared.instance.clone(),
-            table: shared.idempotency.clone(),
+            owners: shared.owners.clone(),
+        }
+    }
+
+    async fn claim(&self, key: ScopedKey, exchange: Exchange, next: Next<'_>) -> Answer {
+        match self.owners.claim(key, exchange.whole_fingerprint()).await {
+            Claim::First => self.first(key, exchange, next).await,
+            Claim::Repeated(progress) => repeated(progress),
+            Claim::Mismatch => {
+                let why = "this idempotency key came with another request: use a new one";
+                Answer::refused(Refusal::Idempotency(why.into()))
+            }
+            Claim::NoVouching => Answer::Broken(Broken {
+                cause: Cause::NoVouching {
+                    retry_after_ms: NO_VOUCHING_RETRY_MS,
+                },
+                reason: "nobody can say now whether this key's request ran before".into(),
+            }),
+            Claim::Full => {
+                let full = NotRun::retry_after(Refusal::Overloaded, FULL_RETRY_MS);
+                Answer::Refused(full)
+            }
         }
     }
 
     async fn first(&self, key: ScopedKey, mut exchange: Exchange, next: Next<'_>) -> Answer {
         exchange.keep_whole = true;
-        let mut guard = FinishGuard {
-            table: &self.table,
-            key,
-            progress: Some(Progress::Unknown),
-        };
+        let fingerprint = exchange.whole_fingerprint();
         let answer = next.run(exchange).await;
-        guard.progress = match &answer {
+        let progress = match &answer {
             Answer::Refused(_) => None,
             Answer::Whole(whole) => Some(Progress::Finished(keep(whole))),
             Answer::Stream(_) | Answer::Broken(_) => Some(Progress::Unknown),
         };
+        let owners = self.owners.clone();
+        let told = owners.finish(key, fingerprint, progress);
+        // The caller gets its answer once the owners know; they are given a moment for that.
+        let told = actix_rt::spawn(told);
+        let _ = tokio::time::timeout(FINISH_WAIT, told).await;
         answer
     }
 }
 
-/// Says how the first request ended, also when its caller is gone before that.
-struct FinishGuard<'a> {
-    table: &'a IdempotencyTable,
-    key: ScopedKey,
-    progress: Option<Progress>,
-}
-
-impl Drop for FinishGuard<'_> {
-    fn drop(&mut self) {
-        let mut memory = self.table.memory();
-        match self.progress.take() {
-            Some(progress) => memory.finish(self.key, progress),
-            None => memory.release(self.key),
-        }
-    }
-}
-
 fn keep(whole: &Whole) -> Option<KeptAnswer> {
     (whole.body.len() <= LARGEST_KEPT_BYTES).then(|| KeptAnswer {
         status: whole.status,
@@ -156,27 +154,6 @@
             return next.run(exchange);
         };
         let key = scoped(&exchange, &key);
-        let now_ms = self.instance.now_ms();
-        let claim = self
-            .table
-            .memory()
-            .claim(key, exchange.fingerprint(), now_ms);
-        let answer = match claim {
-            Claim::First => return Box::pin(self.first(key, exchange, next)),
-            Claim::Repeated(progress) => repeated(progress),
-            Claim::Mismatch => {
-                let why = "this idempotency key came with another request: use a new one";
-                Answer::refused(Refusal::Idempotency(why.into()))
-            }
-            Claim::NoVouching => {
-                let why = "nobody can say whether this key's request ran before";
-                Answer::broken(Cause::Earlier, why)
-            }
-            Claim::Full => {
-                let full = NotRun::retry_after(Refusal::Overloaded, FULL_RETRY_MS);
-                Answer::Refused(full)
-            }
-        };
-        Box::pin(std::future::ready(answer))
+        Box::pin(self.claim(key, exchange, next))
     }
 }
--- a/flamingoscale/src/gateway/idempotency/table.rs
+++ b/flamingoscale/src/gateway/idempotency/table.rs
@@ -24,22 +24,22 @@
 
 /// One idempotency key, scoped to organisation and service, as a hash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) struct ScopedKey(pub(crate) u128);
+pub struct ScopedKey(pub u128);
 
 /// An answer that is kept for a repeated request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct KeptAnswer {
+pub struct KeptAnswer {
     /// The HTTP status.
-    pub(crate) status: u16,
+    pub status: u16,
     /// Its headers.
-    pub(crate) headers: Vec<(Arc<str>, Arc<str>)>,
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
     /// Its body.
-    pub(crate) body: bytes::Bytes,
+    pub body: bytes::Bytes,
 }
 
 /// How far the first request of a key is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Progress {
+pub enum Progress {
     /// It may be running.
     Started,
     /// It ran; the answer is there unless it was too large or too old to keep.
@@ -50,7 +50,7 @@
 
 /// What the owner says of a request with a key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum Claim {
+pub enum Claim {
     /// It is the first: run it.
     First,
     /// It came before and is this far.
@@ -63,6 +63,19 @@
     NoVouching,
 }
 
+/// What one instance tells another of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyCopy {
+    /// The key.
+    pub key: ScopedKey,
+    /// The fingerprint of its request.
+    pub fingerprint: u64,
+    /// How far the request is.
+    pub progress: Progress,
+    /// How long ago it started.
+    pub age_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     fingerprint: u64,
@@ -83,11 +96,9 @@
     /// Takes in a request with a key.
     pub(crate) fn claim(&mut self, key: ScopedKey, fingerprint: u64, now_ms: u64) -> Claim {
         self.expire(now_ms);
-        if let Some(entry) = self.entries.get(&key) {
-            if entry.fingerprint != fingerprint {
-                return Claim::Mismatch;
-            }
-            return Claim::Repeated(entry.progress.clone());
+        let known = self.look(key, fingerprint);
+        if known != Claim::First {
+            return known;
         }
         if self.entries.len() >= MOST_KEYS {
             return Claim::Full;
@@ -102,6 +113,15 @@
         Claim::First
     }
 
+    /// What is known of a key, without taking it in.
+    pub(crate) fn look(&self, key: ScopedKey, fingerprint: u64) -> Claim {
+        match self.entries.get(&key) {
+            None => Claim::First,
+            Some(entry) if entry.fingerprint != fingerprint => Claim::Mismatch,
+            Some(entry) => Claim::Repeated(entry.progress.clone()),
+        }
+    }
+
     /// Takes in how the first request ended.
     pub(crate) fn finish(&mut self, key: ScopedKey, progress: Progress) {
         let Some(entry) = self.entries.get_mut(&key) else {
@@ -123,6 +143,31 @@
         self.forget(key);
     }
 
+    /// Takes in what another instance knows of a key. Knowing that it ran counts for more than
+    /// knowing that it started.
+    pub(crate) fn adopt(&mut self, copy: KeyCopy, now_ms: u64) {
+        if copy.age_ms >= KEY_LIFETIME_MS {
+            return;
+        }
+        let claim = self.claim(copy.key, copy.fingerprint, now_ms);
+        if !matches!(claim, Claim::Mismatch | Claim::Full) && copy.progress != Progress::Started {
+            self.finish(copy.key, copy.progress);
+        }
+    }
+
+    /// Copies of all that is remembered, for the instances that take over.
+    pub(crate) fn copies(&self, now_ms: u64) -> Vec<KeyCopy> {
+        let entries = self.entries.iter();
+        entries
+            .map(|(key, entry)| KeyCopy {
+                key: *key,
+                fingerprint: entry.fingerprint,
+                progress: entry.progress.clone(),
+                age_ms: now_ms.saturating_sub(entry.started_ms),
+            })
+            .collect()
+    }
+
     fn expire(&mut self, now_ms: u64) {
         while let Some((started_ms, key)) = self.order.front().copied() {
             if started_ms + KEY_LIFETIME_MS > now_ms {
--- /dev/null
+++ b/flamingoscale/src/gateway/limit/lending.rs
@@ -0,0 +1,202 @@
+//! Tokens lent out by the owner of an organisation's limit, and what was borrowed here.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::Duration, //
+};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    gateway::{
+        limit::bucket::Buckets,
+        Message,
+        Reply, //
+    },
+    instance::Instance,
+    peer::{
+        PeerReply,
+        PeerRequest, //
+    },
+    routing::rendezvous,
+    view::Member, //
+};
+
+/// The part of a second's tokens that is borrowed at once, as one in so many.
+const CHUNKS_PER_S: u64 = 20;
+
+/// Borrowed tokens above this many chunks go back to the owner.
+const KEPT_CHUNKS: u64 = 2;
+
+/// Longest wait for the owner.
+const OWNER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The limits of organisations as one instance lends and borrows them.
+pub(crate) struct Lending {
+    instance: Arc<Instance>,
+    owned: Mutex<Buckets>,
+    /// Used while an owner can't be reached: this instance's even share.
+    shares: Mutex<Buckets>,
+    borrowed: Mutex<HashMap<Arc<str>, u64>>,
+}
+
+impl Lending {
+    pub(crate) fn new(instance: Arc<Instance>) -> Arc<Self> {
+        Arc::new(Self {
+            instance,
+            owned: Mutex::default(),
+            shares: Mutex::default(),
+            borrowed: Mutex::default(),
+        })
+    }
+
+    /// Takes tokens for a request.
+    ///
+    /// # Errors
+    ///
+    /// The milliseconds after which there will be some.
+    pub(crate) async fn take(
+        &self,
+        organisation: &Arc<str>,
+        tokens: u64,
+        tokens_per_s: u64,
+    ) -> Result<(), u64> {
+        let missing = match self.take_borrowed(organisation, tokens) {
+            Ok(()) => return Ok(()),
+            Err(missing) => missing,
+        };
+        let wanted = missing.max(tokens_per_s / CHUNKS_PER_S);
+        self.borrow(organisation, wanted, tokens_per_s).await?;
+        *lock(&self.borrowed)
+            .entry(organisation.clone())
+            .or_default() += wanted;
+        // Another request may have taken some meanwhile; the owner has been charged all the same.
+        let mut borrowed = lock(&self.borrowed);
+        let left = borrowed.entry(organisation.clone()).or_default();
+        *left = left.saturating_sub(tokens);
+        Ok(())
+    }
+
+    /// Gives back what a request did not use; the owner gets what is more than needed here.
+    pub(crate) fn give_back(
+        self: &Arc<Self>,
+        organisation: &Arc<str>,
+        tokens: u64,
+        tokens_per_s: u64,
+    ) {
+        let kept = (tokens_per_s / CHUNKS_PER_S).max(1) * KEPT_CHUNKS;
+        let surplus = {
+            let mut borrowed = lock(&self.borrowed);
+            let left = borrowed.entry(organisation.clone()).or_default();
+            *left += tokens;
+            let surplus = left.saturating_sub(kept);
+            *left -= surplus;
+            surplus
+        };
+        if surplus == 0 {
+            return;
+        }
+        match self.owner(organisation) {
+            Some(owner) => {
+                let message = Message::GiveBack {
+                    organisation: organisation.clone(),
+                    tokens: surplus,
+                };
+                let me = self.clone();
+                actix_rt::spawn(async move { me.ask(&owner, message).await });
+            }
+            None => self.given_back(organisation, surplus),
+        }
+    }
+
+    /// Lends tokens of an organisation that this instance owns the limit of.
+    pub(crate) fn lend(&self, organisation: &Arc<str>, tokens: u64) -> Result<(), u64> {
+        let view = self.instance.view.load();
+        let limit = view.configuration.organisation(organisation);
+        match limit.map_or(0, |organisation| organisation.tokens_per_s) {
+            0 => Ok(()),
+            tokens_per_s => {
+                let now_ms = self.instance.now_ms();
+                lock(&self.owned).take(organisation, tokens, tokens_per_s, now_ms)
+            }
+        }
+    }
+
+    /// Takes lent tokens back.
+    pub(crate) fn given_back(&self, organisation: &Arc<str>, tokens: u64) {
+        lock(&self.owned).give_back(organisation, tokens);
+    }
+
+    /// Takes tokens that are here, or says how many are missing.
+    fn take_borrowed(&self, organisation: &Arc<str>, tokens: u64) -> Result<(), u64> {
+        let mut borrowed = lock(&self.borrowed);
+        let left = borrowed.entry(organisation.clone()).or_default();
+        if *left < tokens {
+            return Err(tokens - *left);
+        }
+        *left -= tokens;
+        Ok(())
+    }
+
+    async fn borrow(
+        &self,
+        organisation: &Arc<str>,
+        tokens: u64,
+        tokens_per_s: u64,
+    ) -> Result<(), u64> {
+        let Some(owner) = self.owner(organisation) else {
+            return self.lend(organisation, tokens);
+        };
+        let message = Message::Borrow {
+            organisation: organisation.clone(),
+            tokens,
+        };
+        match self.ask(&owner, message).await {
+            Some(Reply::Lent) => Ok(()),
+            Some(Reply::NothingLeft { retry_after_ms }) => Err(retry_after_ms),
+            _ => self.take_share(organisation, tokens, tokens_per_s),
+        }
+    }
+
+    /// Without the owner, each instance keeps to an even share.
+    fn take_share(
+        &self,
+        organisation: &Arc<str>,
+        tokens: u64,
+        tokens_per_s: u64,
+    ) -> Result<(), u64> {
+        let members = self.instance.view.load().members.len().max(1) as u64;
+        let share = tokens_per_s.div_ceil(members);
+        let now_ms = self.instance.now_ms();
+        self.instance.metrics.count("limit.owner_away");
+        lock(&self.shares).take(organisation, tokens, share, now_ms)
+    }
+
+    /// The owner of an organisation's limit; none where that is this instance.
+    fn owner(&self, organisation: &str) -> Option<Member> {
+        let members = self.instance.view.load().members.clone();
+        let owner = rendezvous::owner(xxh3_64(organisation.as_bytes()), &members)?;
+        (owner.instance != *self.instance.id()).then(|| owner.clone())
+    }
+
+    async fn ask(&self, owner: &Member, message: Message) -> Option<Reply> {
+        let peers = self.instance.peers()?;
+        let request = PeerRequest::Gateway(message);
+        let mut replies = peers.open(&owner.instance, &owner.peer_address, request);
+        match tokio::time::timeout(OWNER_TIMEOUT, replies.next()).await {
+            Ok(Some(Ok(PeerReply::Gateway(reply)))) => Some(reply),
+            _ => None,
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- a/flamingoscale/src/gateway/quarantine.rs
+++ b/flamingoscale/src/gateway/quarantine.rs
@@ -111,9 +111,9 @@
         }
     }
 
-    /// A suspect ran alone and the endpoint lives.
-    pub(crate) fn clear(&self, fingerprint: u64) {
-        self.lock().remove(&fingerprint);
+    /// A suspect ran alone and the endpoint lives; returns whether it was one.
+    pub(crate) fn clear(&self, fingerprint: u64) -> bool {
+        self.lock().remove(&fingerprint).is_some()
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, Record>> {
--- a/flamingoscale/src/home/desk.rs
+++ b/flamingoscale/src/home/desk.rs
@@ -127,6 +127,11 @@
         self.with(|inner| (inner.table.facts(endpoint), Vec::new()))
     }
 
+    /// How long an endpoint still has, once it leaves.
+    pub(crate) fn leaving_in_ms(&self, endpoint: EndpointKey) -> Option<u64> {
+        self.with(|inner| (inner.table.leaving_in_ms(endpoint), Vec::new()))
+    }
+
     pub(crate) fn requests(&self, endpoint: EndpointKey) -> u32 {
         self.with(|inner| (inner.table.requests(endpoint), Vec::new()))
     }
@@ -140,16 +145,23 @@
         self.with(|inner| ((), inner.table.hold(endpoint, held, now_ms)));
     }
 
-    /// Reads an endpoint's status by `read` and takes it in.
+    /// Says that an endpoint is gone.
+    pub(crate) fn lost(&self, endpoint: EndpointKey) {
+        self.with(|inner| ((), inner.table.lost(endpoint)));
+    }
+
+    /// Reads an endpoint's status by `read` and takes it in; returns whether there was one.
     pub(crate) async fn refresh(
         &self,
         endpoint: EndpointKey,
         read: impl Future<Output = Option<EndpointStatus>>,
-    ) {
+    ) -> bool {
         let asked = self.with(|inner| (inner.table.epoch(endpoint), Vec::new()));
         let status = read.await;
+        let there = status.is_some();
         let now_ms = self.instance.now_ms();
         self.with(|inner| ((), inner.table.status(endpoint, asked, status, now_ms)));
+        there
     }
 
     /// Decides under the lock, then carries the actions out without it.
--- a/flamingoscale/src/home/table.rs
+++ b/flamingoscale/src/home/table.rs
@@ -4,6 +4,7 @@
     collections::{
         BTreeMap,
         HashMap,
+        HashSet,
         VecDeque, //
     },
     sync::Arc, //
@@ -142,6 +143,8 @@
     waiting_alone: VecDeque<Ticket>,
     /// Fingerprints whose connections broke since the last good status.
     broken: Vec<u64>,
+    /// Fingerprints that were named at the present crash, so that they count once.
+    named: HashSet<u64>,
     slot_tokens_per_s: u64,
     interactive_at_ms: Option<u64>,
 }
@@ -212,6 +215,12 @@
         self.slots.get(&endpoint).map(|slot| &slot.target)
     }
 
+    /// How long an endpoint still has, once it leaves.
+    pub fn leaving_in_ms(&self, endpoint: EndpointKey) -> Option<u64> {
+        let slot = self.slots.get(&endpoint)?;
+        slot.status.as_ref()?.leaving_in_ms
+    }
+
     /// Requests in flight and waiting at an endpoint, for the entries' guess of its load.
     pub fn requests(&self, endpoint: EndpointKey) -> u32 {
         self.slots
@@ -299,6 +308,17 @@
         actions
     }
 
+    /// Says that an endpoint gives no status on new connections either.
+    pub fn lost(&mut self, endpoint: EndpointKey) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(slot) = self.slots.get_mut(&endpoint) {
+            slot.failed_reads = slot.failed_reads.max(FAILED_READS - 1);
+            slot.miss_status(&mut actions);
+            slot.settle_waiting(&mut actions);
+        }
+        actions
+    }
+
     /// Says that the connection broke while the request ran: it was in flight at a crash if the
     /// endpoint comes back with another boot, or not at all.
     pub fn broke(&mut self, endpoint: EndpointKey, ticket: Ticket) {
@@ -334,6 +354,7 @@
             waiting: HashMap::new(),
             waiting_alone: VecDeque::new(),
             broken: Vec::new(),
+            named: HashSet::new(),
             slot_tokens_per_s: FIRST_SLOT_TOKENS_PER_S,
             interactive_at_ms: None,
         }
@@ -479,6 +500,7 @@
             self.crashed(actions);
         }
         self.broken.clear();
+        self.named.clear();
         // A read that began before a hold ended may still show the weights from before.
         self.version_known |= asked == epoch;
         self.status = Some(status);
@@ -487,20 +509,25 @@
     /// An endpoint that stays away after connections broke has crashed, unless it was leaving.
     fn miss_status(&mut self, actions: &mut Vec<Action>) {
         self.failed_reads = self.failed_reads.saturating_add(1);
-        if self.failed_reads == FAILED_READS && !self.broken.is_empty() && !self.is_leaving() {
+        if self.failed_reads >= FAILED_READS && !self.broken.is_empty() && !self.is_leaving() {
             self.crashed(actions);
         }
     }
 
+    /// Names what was in flight and has not been named for this crash yet.
     fn crashed(&mut self, actions: &mut Vec<Action>) {
         let running = self.running.values().map(|offer| offer.fingerprint);
-        let mut fingerprints: Vec<u64> = running.chain(self.broken.drain(..)).collect();
+        let in_flight: HashSet<u64> = running.chain(self.broken.drain(..)).collect();
+        let unnamed = in_flight.difference(&self.named).copied();
+        let mut fingerprints: Vec<u64> = unnamed.collect();
         fingerprints.sort_unstable();
-        fingerprints.dedup();
-        actions.push(Action::Crashed {
-            endpoint: self.target.key,
-            fingerprints,
-        });
+        self.named.extend(&fingerprints);
+        if !fingerprints.is_empty() {
+            actions.push(Action::Crashed {
+                endpoint: self.target.key,
+                fingerprints,
+            });
+        }
     }
 
     /// Refuses what waits for an endpoint that can't take it any more.
@@ -689,6 +716,32 @@
         assert_eq!(actions, [crashed]);
     }
 
+    #[test]
+    fn a_crash_names_each_request_once() {
+        let mut table = table(4);
+        table.offer(KEY, offer(1), 0);
+        table.offer(KEY, offer(2), 0);
+        table.broke(KEY, Ticket(1));
+        table.leave(KEY, Ticket(1), None, 1);
+        let crashed = |fingerprints: &[u64]| Action::Crashed {
+            endpoint: KEY,
+            fingerprints: fingerprints.to_vec(),
+        };
+        assert_eq!(table.lost(KEY), [crashed(&[1, 2])]);
+        assert_eq!(read(&mut table, Some(status(7, 2)), 5), []);
+        assert_eq!(read(&mut table, Some(status(7, 3)), 6), [crashed(&[2])]);
+    }
+
+    #[test]
+    fn a_connection_that_broke_without_a_crash_makes_no_suspect() {
+        let mut table = table(4);
+        table.offer(KEY, offer(1), 0);
+        table.broke(KEY, Ticket(1));
+        table.leave(KEY, Ticket(1), None, 1);
+        assert_eq!(read(&mut table, Some(status(7, 1)), 5), []);
+        assert_eq!(read(&mut table, Some(status(7, 2)), 6), []);
+    }
+
     #[test]
     fn an_endpoint_that_moves_away_keeps_what_runs() {
         let mut table = table(1);
--- a/flamingoscale/src/service.rs
+++ b/flamingoscale/src/service.rs
@@ -143,7 +143,11 @@
             Ok(Err(error)) => {
                 let outcome = client::failed_send(&error);
                 let broke = matches!(outcome, Outcome::Unknown(_));
-                return TryEnd { outcome, broke };
+                return TryEnd {
+                    outcome,
+                    broke,
+                    moved: None,
+                };
             }
             Err(_) => {
                 client::forget(&target.address);
@@ -225,14 +229,11 @@
             }
         }
     }
-    TryEnd {
-        outcome: Outcome::Ran(Summary {
-            endpoint: target.key,
-            finish_reason: "stop".into(),
-            ..Summary::default()
-        }),
-        broke: false,
-    }
+    TryEnd::ran(Summary {
+        endpoint: target.key,
+        finish_reason: "stop".into(),
+        ..Summary::default()
+    })
 }
 
 fn end_to_end_headers(response: &ClientResponse) -> Vec<(Arc<str>, Arc<str>)> {
--- /dev/null
+++ b/standin/tests/traffic/bed.rs
@@ -0,0 +1,186 @@
+//! What the tests of traffic run on.
+
+use std::{
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use awc::ClientResponse;
+use flamingoscale::{
+    configuration::{
+        Service,
+        ServiceKind, //
+    },
+    wire::{
+        CompletionRequest,
+        OUTCOME_HEADER, //
+    }, //
+};
+use standin::{
+    cluster::{
+        Cluster,
+        ClusterBuilder, //
+    },
+    engine::{
+        EngineSettings,
+        EngineStandin, //
+    },
+    face::Host,
+    service::ServiceStandin, //
+};
+
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+pub(crate) fn service(name: &str, kind: ServiceKind, idempotent: bool) -> Service {
+    Service {
+        name: name.into(),
+        kind,
+        idempotent,
+        open: false,
+        firm_floor: 1,
+        ceiling: 4,
+        slots: 4,
+        checks_fencing: true,
+    }
+}
+
+pub(crate) struct Bed {
+    pub(crate) cluster: Cluster,
+    pub(crate) engines: Vec<Arc<EngineStandin>>,
+    pub(crate) services: Vec<Arc<ServiceStandin>>,
+    _host: Host,
+}
+
+/// Three instances, two engines, two plain services whose calls may not be repeated.
+pub(crate) async fn bed() -> Bed {
+    let host = Host::start().expect("a thread");
+    let mut builder = ClusterBuilder::default()
+        .node("n1", "saiq")
+        .node("n2", "shams")
+        .node("n3", "nizwa")
+        .organisation("lodges", 1, 0)
+        .service(service("draft", ServiceKind::Engine, true))
+        .service(service("lookup", ServiceKind::Plain, false))
+        .service(Service {
+            open: true,
+            ..service("board", ServiceKind::Plain, true)
+        });
+    let mut engines = Vec::new();
+    let mut services = Vec::new();
+    for (number, domain) in ["saiq", "shams"].into_iter().enumerate() {
+        let name = format!("engine{number}");
+        let settings = EngineSettings::new(&*name).tokens_per_s(2_000.0);
+        let engine = settings.first_version(3).start(&host).expect("a port");
+        builder = builder.endpoint(&name, "draft", domain, engine.address());
+        engines.push(engine);
+        let name = format!("lookup{number}");
+        let service = ServiceStandin::start(&host, 0, &*name, 1).expect("a port");
+        builder = builder.endpoint(&name, "lookup", domain, service.address());
+        services.push(service);
+    }
+    let board = ServiceStandin::start(&host, 0, "board0", 1).expect("a port");
+    builder = builder.endpoint("board0", "board", "saiq", board.address());
+    services.push(board);
+    let cluster = builder.start().expect("ports");
+    let bed = Bed {
+        cluster,
+        engines,
+        services,
+        _host: host,
+    };
+    bed.ready().await;
+    bed
+}
+
+impl Bed {
+    /// Waits until every home has read its endpoints' status.
+    pub(crate) async fn ready(&self) {
+        let started = Instant::now();
+        let mut reachable = 0;
+        while reachable < self.engines.len() + self.services.len() {
+            assert!(started.elapsed() < PATIENCE, "{reachable} are reachable");
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+            reachable = self.reachable();
+        }
+    }
+
+    pub(crate) fn reachable(&self) -> usize {
+        use flamingoscale::home::Homes as _;
+        let nodes = self.cluster.nodes.iter();
+        nodes
+            .flat_map(|node| {
+                let dispatcher = node.dispatcher.clone();
+                let homes = dispatcher.at_home().into_iter();
+                homes.filter_map(move |key| dispatcher.facts(key))
+            })
+            .filter(|facts| facts.reachable)
+            .count()
+    }
+
+    pub(crate) fn url(&self, node: usize, path: &str) -> String {
+        format!("http://{}{path}", self.cluster.nodes[node].address)
+    }
+
+    pub(crate) fn key(&self) -> String {
+        format!("Bearer {}", self.cluster.keys["lodges"])
+    }
+
+    pub(crate) async fn complete(&self, node: usize, prompt: &str, stream: bool) -> ClientResponse {
+        self.send(node, &request(prompt, 20, stream)).await
+    }
+
+    pub(crate) async fn send(&self, node: usize, request: &CompletionRequest) -> ClientResponse {
+        client()
+            .post(self.url(node, "/v1/completions"))
+            .insert_header(("authorization", self.key()))
+            .send_json(request)
+            .await
+            .expect("an answer")
+    }
+
+    pub(crate) async fn look_up(
+        &self,
+        node: usize,
+        id: &str,
+        headers: &[(&str, &str)],
+    ) -> ClientResponse {
+        let mut request = client()
+            .post(self.url(node, "/s/lookup/branches?near=e4"))
+            .insert_header(("authorization", self.key()));
+        for header in headers {
+            request = request.insert_header(*header);
+        }
+        let body = format!("{{\"id\":\"{id}\"}}");
+        request.send_body(body).await.expect("an answer")
+    }
+
+    pub(crate) fn runs(&self, id: &str) -> u64 {
+        let services = self.services.iter();
+        services
+            .map(|service| service.runs_by_body().get(id).copied().unwrap_or(0))
+            .sum()
+    }
+}
+
+pub(crate) fn client() -> awc::Client {
+    awc::Client::builder().timeout(PATIENCE).finish()
+}
+
+pub(crate) fn outcome(response: &ClientResponse) -> String {
+    let header = response.headers().get(OUTCOME_HEADER);
+    let header = header.expect("every answer names its outcome");
+    header.to_str().expect("it is a word").to_owned()
+}
+
+pub(crate) fn request(prompt: &str, max_tokens: u32, stream: bool) -> CompletionRequest {
+    CompletionRequest {
+        model: "draft".into(),
+        prompt: prompt.into(),
+        max_tokens,
+        stream,
+        ..CompletionRequest::default()
+    }
+}
--- /dev/null
+++ b/standin/tests/traffic/faults.rs
@@ -0,0 +1,231 @@
+//! Endpoints that crash, go silent, leave, and instances that do.
+
+use std::time::Instant;
+
+use awc::http::StatusCode;
+use flamingoscale::wire::{
+    Completion,
+    CompletionChunk, //
+};
+use futures::{
+    future::join_all,
+    StreamExt as _, //
+};
+use standin::{
+    engine::expected_text,
+    faults::Fault, //
+};
+
+use crate::bed::{
+    bed,
+    outcome,
+    request,
+    Bed,
+    PATIENCE, //
+};
+
+async fn whole(bed: &Bed, node: usize, prompt: &str) -> bool {
+    let mut response = bed.complete(node, prompt, false).await;
+    if response.status() != StatusCode::OK {
+        return false;
+    }
+    let completion: Completion = response.json().await.expect("a completion");
+    assert_eq!(completion.text, expected_text(prompt, 0, 20));
+    true
+}
+
+async fn until(what: &str, mut check: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !check() {
+        assert!(started.elapsed() < PATIENCE, "never happened: {what}");
+        actix_rt::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_crash_costs_no_repeatable_request() {
+    let bed = bed().await;
+    let calls = (0..12).map(|number| {
+        let bed = &bed;
+        async move {
+            let prompt = format!("{number} ways down");
+            let request = request(&prompt, 400, false);
+            let mut response = bed.send(number % 3, &request).await;
+            assert_eq!(response.status(), StatusCode::OK, "{number}");
+            let completion: Completion = response.json().await.expect("a completion");
+            assert_eq!(completion.text, expected_text(&prompt, 0, 400));
+        }
+    });
+    let crash = async {
+        actix_rt::time::sleep(std::time::Duration::from_millis(60)).await;
+        let back_after_ms = Some(300);
+        bed.engines[0].fault(&Fault::Crash { back_after_ms });
+    };
+    futures::join!(join_all(calls), crash);
+}
+
+#[actix_rt::test]
+async fn a_request_that_crashes_engines_is_refused_everywhere_after_the_second() {
+    let bed = bed().await;
+    for engine in &bed.engines {
+        engine.fault(&Fault::Poison {
+            text: "poison".into(),
+            back_after_ms: 100,
+        });
+    }
+    let first = bed.complete(0, "some poison", false).await;
+    assert_eq!(outcome(&first), "unknown");
+    let crashes = || bed.engines.iter().map(|e| e.boot() - 1).sum::<u64>();
+    assert_eq!(crashes(), 2, "two engines ran it and no third");
+    let started = Instant::now();
+    for node in 0..3 {
+        loop {
+            let again = bed.complete(node, "some poison", false).await;
+            if again.status() == StatusCode::UNPROCESSABLE_ENTITY {
+                assert_eq!(outcome(&again), "not-run");
+                break;
+            }
+            assert!(started.elapsed() < PATIENCE, "it is never refused");
+        }
+    }
+    assert!(crashes() <= 3, "{} crashes", crashes());
+    bed.ready().await;
+    assert!(whole(&bed, 0, "harmless").await);
+}
+
+#[actix_rt::test]
+async fn connections_that_went_silent_are_left_for_new_ones() {
+    let bed = bed().await;
+    for number in 0..12 {
+        assert!(whole(&bed, number % 3, &format!("warm {number}")).await);
+    }
+    for engine in &bed.engines {
+        engine.fault(&Fault::SilenceOpen);
+    }
+    for service in &bed.services {
+        service.fault(&Fault::SilenceOpen);
+    }
+    let calls = (0..12).map(|number| {
+        let bed = &bed;
+        async move {
+            assert!(whole(bed, number % 3, &format!("after {number}")).await);
+            let id = format!("silent {number}");
+            let response = bed.look_up(number % 3, &id, &[]).await;
+            assert_eq!(outcome(&response), "ran");
+            assert_eq!(bed.runs(&id), 1);
+        }
+    });
+    join_all(calls).await;
+}
+
+#[actix_rt::test]
+async fn a_home_that_falls_silent_costs_time_and_no_second_run() {
+    let bed = bed().await;
+    bed.cluster.silence("n2", true);
+    let calls = (0..12).map(|number| {
+        let bed = &bed;
+        async move {
+            let node = [0, 2][number % 2];
+            assert!(whole(bed, node, &format!("past the silent home {number}")).await);
+            let id = format!("home {number}");
+            let response = bed.look_up(node, &id, &[]).await;
+            let runs = bed.runs(&id);
+            match &*outcome(&response) {
+                "ran" => assert_eq!(runs, 1),
+                "not-run" => assert_eq!(runs, 0),
+                _ => assert!(runs <= 1),
+            }
+        }
+    });
+    join_all(calls).await;
+}
+
+#[actix_rt::test]
+async fn a_home_that_cannot_be_reached_is_passed_over() {
+    let bed = bed().await;
+    bed.cluster.cut("n2", true);
+    for number in 0..12 {
+        let node = [0, 2][number % 2];
+        assert!(whole(&bed, node, &format!("without n2 {number}")).await);
+        let id = format!("without n2 {number}");
+        let response = bed.look_up(node, &id, &[]).await;
+        assert_eq!(outcome(&response), "ran");
+        assert_eq!(bed.runs(&id), 1);
+    }
+}
+
+#[actix_rt::test]
+async fn a_leaving_engine_gets_no_new_work_and_its_streams_move_on() {
+    let bed = bed().await;
+    let prompts: Vec<String> = (0..6).map(|n| format!("long way {n}")).collect();
+    let streams = prompts.iter().enumerate().map(|(number, prompt)| {
+        let bed = &bed;
+        async move {
+            // Two seconds at the engine's speed; it leaves sooner.
+            let mut response = bed.send(number % 3, &request(prompt, 4_000, true)).await;
+            assert_eq!(response.status(), StatusCode::OK);
+            let mut bytes = Vec::new();
+            while let Some(part) = response.next().await {
+                bytes.extend_from_slice(&part.expect("the stream is not cut"));
+            }
+            let text = String::from_utf8(bytes).expect("it is text");
+            assert!(text.ends_with("data: [DONE]\n\n"), "{prompt}: {text:.200}");
+            let chunks = text.split("\n\n").filter_map(|e| e.strip_prefix("data: {"));
+            let chunks = chunks.map(|e| serde_json::from_str(&format!("{{{e}")));
+            let answer: String = chunks
+                .map(|chunk: Result<CompletionChunk, _>| chunk.expect("a chunk").text)
+                .collect();
+            assert_eq!(answer, expected_text(prompt, 0, 4_000));
+        }
+    });
+    let leave = async {
+        until("both engines run", || {
+            bed.engines
+                .iter()
+                .all(|engine| engine.generated_tokens() > 100)
+        })
+        .await;
+        let leaving = &bed.engines[0];
+        leaving.fault(&Fault::Reclaim { notice_ms: 1_200 });
+        actix_rt::time::sleep(std::time::Duration::from_millis(400)).await;
+        let before = leaving.runs().len();
+        for number in 0..8 {
+            assert!(whole(&bed, number % 3, &format!("meanwhile {number}")).await);
+        }
+        assert_eq!(leaving.runs().len(), before);
+    };
+    futures::join!(join_all(streams), leave);
+    let resumed = bed.engines[1].runs();
+    assert!(resumed.len() > 8, "some went on at the other engine");
+}
+
+#[actix_rt::test]
+async fn no_endpoint_poses_as_another() {
+    let bed = bed().await;
+    // The platform lists the first service's address under the second one's name.
+    bed.cluster.update(|view| {
+        let mut table = (*view.endpoints).clone();
+        let mut endpoints = table.endpoints.values_mut();
+        let first = endpoints.find(|e| &*e.platform.endpoint == "lookup0");
+        let address = first.expect("it is there").platform.address.clone();
+        for endpoint in table.endpoints.values_mut() {
+            if &*endpoint.platform.service == "lookup" {
+                endpoint.platform.address = address.clone();
+            }
+        }
+        view.endpoints = table.into();
+    });
+    actix_rt::time::sleep(std::time::Duration::from_millis(500)).await;
+    for number in 0..8 {
+        let id = format!("posing {number}");
+        let response = bed.look_up(number % 3, &id, &[]).await;
+        let runs = bed.runs(&id);
+        match &*outcome(&response) {
+            "ran" => assert_eq!(runs, 1),
+            "not-run" => assert_eq!(runs, 0),
+            _ => assert!(runs <= 1),
+        }
+    }
+    let posing = bed.services[1].runs();
+    assert!(posing.is_empty(), "nothing is at its own address");
+}
--- a/standin/tests/traffic_path.rs
+++ b/standin/tests/traffic/path.rs
@@ -1,191 +1,34 @@
-//! The request path over several instances: whole answers, true outcomes, one run.
+//! Whole answers, true outcomes, one run.
 
 use std::{
     sync::Arc,
-    time::{
-        Duration,
-        Instant, //
-    }, //
+    time::Instant, //
 };
 
-use awc::{
-    http::StatusCode,
-    ClientResponse, //
-};
-use flamingoscale::{
-    configuration::{
-        Service,
-        ServiceKind, //
-    },
-    wire::{
-        Completion,
-        CompletionChunk,
-        CompletionRequest,
-        Entries,
-        ErrorBody,
-        OUTCOME_HEADER, //
-    }, //
+use awc::http::StatusCode;
+use flamingoscale::wire::{
+    Completion,
+    CompletionChunk,
+    CompletionRequest,
+    Entries,
+    ErrorBody, //
 };
 use futures::StreamExt as _;
 use standin::{
-    cluster::{
-        Cluster,
-        ClusterBuilder, //
-    },
-    engine::{
-        expected_text,
-        EngineSettings,
-        EngineStandin, //
-    },
-    face::Host,
+    engine::expected_text,
     faults::Fault,
     service::{
         expected_value,
-        LookupAnswer,
-        ServiceStandin, //
+        LookupAnswer, //
     }, //
 };
 
-const PATIENCE: Duration = Duration::from_secs(20);
-
-fn service(name: &str, kind: ServiceKind, idempotent: bool) -> Service {
-    Service {
-        name: name.into(),
-        kind,
-        idempotent,
-        open: false,
-        firm_floor: 1,
-        ceiling: 4,
-        slots: 4,
-        checks_fencing: true,
-    }
-}
-
-struct Bed {
-    cluster: Cluster,
-    engines: Vec<Arc<EngineStandin>>,
-    services: Vec<Arc<ServiceStandin>>,
-    _host: Host,
-}
-
-/// Three instances, two engines, two plain services whose calls may not be repeated.
-async fn bed() -> Bed {
-    let host = Host::start().expect("a thread");
-    let mut builder = ClusterBuilder::default()
-        .node("n1", "saiq")
-        .node("n2", "shams")
-        .node("n3", "nizwa")
-        .organisation("lodges", 1, 0)
-        .service(service("draft", ServiceKind::Engine, true))
-        .service(service("lookup", ServiceKind::Plain, false))
-        .service(Service {
-            open: true,
-            ..service("board", ServiceKind::Plain, true)
-        });
-    let mut engines = Vec::new();
-    let mut services = Vec::new();
-    for (number, domain) in ["saiq", "shams"].into_iter().enumerate() {
-        let name = format!("engine{number}");
-        let settings = EngineSettings::new(&*name).tokens_per_s(2_000.0);
-        let engine = settings.first_version(3).start(&host).expect("a port");
-        builder = builder.endpoint(&name, "draft", domain, engine.address());
-        engines.push(engine);
-        let name = format!("lookup{number}");
-        let service = ServiceStandin::start(&host, 0, &*name, 1).expect("a port");
-        builder = builder.endpoint(&name, "lookup", domain, service.address());
-        services.push(service);
-    }
-    let board = ServiceStandin::start(&host, 0, "board0", 1).expect("a port");
-    builder = builder.endpoint("board0", "board", "saiq", board.address());
-    services.push(board);
-    let cluster = builder.start().expect("ports");
-    let bed = Bed {
-        cluster,
-        engines,
-        services,
-        _host: host,
-    };
-    bed.ready().await;
-    bed
-}
-
-impl Bed {
-    /// Waits until every home has read its endpoints' status.
-    async fn ready(&self) {
-        let started = Instant::now();
-        let mut reachable = 0;
-        while reachable < self.engines.len() + self.services.len() {
-            assert!(started.elapsed() < PATIENCE, "{reachable} are reachable");
-            actix_rt::time::sleep(Duration::from_millis(10)).await;
-            reachable = self.reachable();
-        }
-    }
-
-    fn reachable(&self) -> usize {
-        use flamingoscale::home::Homes as _;
-        let nodes = self.cluster.nodes.iter();
-        nodes
-            .flat_map(|node| {
-                let dispatcher = node.dispatcher.clone();
-                let homes = dispatcher.at_home().into_iter();
-                homes.filter_map(move |key| dispatcher.facts(key))
-            })
-            .filter(|facts| facts.reachable)
-            .count()
-    }
-
-    fn url(&self, node: usize, path: &str) -> String {
-        format!("http://{}{path}", self.cluster.nodes[node].address)
-    }
-
-    fn key(&self) -> String {
-        format!("Bearer {}", self.cluster.keys["lodges"])
-    }
-
-    async fn complete(&self, node: usize, prompt: &str, stream: bool) -> ClientResponse {
-        let request = CompletionRequest {
-            model: "draft".into(),
-            prompt: prompt.into(),
-            max_tokens: 20,
-            stream,
-            ..CompletionRequest::default()
-        };
-        client()
-            .post(self.url(node, "/v1/completions"))
-            .insert_header(("authorization", self.key()))
-            .send_json(&request)
-            .await
-            .expect("an answer")
-    }
-
-    async fn look_up(&self, node: usize, id: &str, headers: &[(&str, &str)]) -> ClientResponse {
-        let mut request = client()
-            .post(self.url(node, "/s/lookup/branches?near=e4"))
-            .insert_header(("authorization", self.key()));
-        for header in headers {
-            request = request.insert_header(*header);
-        }
-        let body = format!("{{\"id\":\"{id}\"}}");
-        request.send_body(body).await.expect("an answer")
-    }
-
-    fn runs(&self, id: &str) -> u64 {
-        let services = self.services.iter();
-        services
-            .map(|service| service.runs_by_body().get(id).copied().unwrap_or(0))
-            .sum()
-    }
-}
-
-fn client() -> awc::Client {
-    awc::Client::builder().timeout(PATIENCE).finish()
-}
-
-fn outcome(response: &ClientResponse) -> String {
-    let header = response.headers().get(OUTCOME_HEADER);
-    let header = header.expect("every answer names its outcome");
-    header.to_str().expect("it is a word").to_owned()
-}
+use crate::bed::{
+    bed,
+    client,
+    outcome,
+    PATIENCE, //
+};
 
 #[actix_rt::test]
 async fn a_completion_is_whole_from_every_instance() {
