--- a/flamingoscale/src/dispatch/dispatcher.rs
+++ b/flamingoscale/src/dispatch/dispatcher.rs
@@ -99,6 +99,7 @@
         loop {
             self.routes();
             self.owners.follow_members();
+            self.instance.demand.set_requests(self.desk.loads());
             for (key, address) in self.desk.targets() {
                 if reading.borrow_mut().insert(key) {
                     let (me, reading) = (self.clone(), reading.clone());
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod configuration;
 pub mod control;
 pub mod controller;
+pub mod demand;
 pub mod dispatch;
 pub mod engine;
 pub mod gateway;
@@ -56,3 +57,6 @@
 pub mod usage;
 pub mod view;
 pub mod wire;
+
+#[cfg(test)]
+mod fuzz;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod demo;
 pub mod engine;
 pub mod face;
 pub mod faults;
