Prove traffic under load and shutdown; add the bench's traffic experiments

Cause: limits, shedding, slow readers and draining were not brought about by any test, and nothing measured the path.

Change: an instance that drains leaves its own answer for entries and closes its connections after each answer; a reader that takes nothing for 10 s frees its engine. Tests for these, for limits over instances, for what is too large, and for streams over a shutdown. Experiments gateway, routing and fairness, each with its baseline in the same run.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,8 +3,12 @@
 //! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
+mod fairness;
+mod gateway;
+mod load;
 mod output;
 mod report;
+mod routing;
 mod timeline;
 
 use std::process::ExitCode;
@@ -31,11 +35,27 @@
 }
 
 const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "fairness",
+        about:
+            "the worst-served organisation while another floods, against first come, first served",
+        run: fairness::run,
+    },
+    Experiment {
+        name: "gateway",
+        about: "added latency and requests a second of one node, against a direct call",
+        run: gateway::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
         run: report::run,
     },
+    Experiment {
+        name: "routing",
+        about: "cost of a choice as endpoints grow; cache hits against other policies",
+        run: routing::run,
+    },
     Experiment {
         name: "timeline",
         about: "cost of recording an event",
--- /dev/null
+++ b/bench/src/routing.rs
@@ -0,0 +1,372 @@
+//! What a choice of an endpoint costs as endpoints grow, and how choices use prompt caches.
+
+use std::{
+    hint::black_box,
+    sync::{
+        atomic::{
+            AtomicUsize,
+            Ordering, //
+        },
+        Arc, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::{
+    routing::table::{
+        prompt_affinity,
+        RouteEndpoint,
+        RouteTable,
+        ServiceRoutes, //
+    },
+    view::{
+        Endpoint,
+        EndpointKey,
+        EndpointTable,
+        Member,
+        View, //
+    },
+    wire::{
+        CompletionRequest,
+        EndpointPhase,
+        PlatformEndpoint,
+        Tier,
+        REQUEST_ID_HEADER, //
+    }, //
+};
+use futures::StreamExt as _;
+use hdrhistogram::Histogram;
+use rand::{
+    Rng as _,
+    RngExt as _,
+    SeedableRng as _, //
+};
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use standin::{
+    engine::{
+        EngineSettings,
+        EngineStandin, //
+    },
+    face::Host, //
+};
+
+use crate::{
+    load::new_histogram,
+    output, //
+};
+
+/// Endpoints of each decision round.
+const SIZES: [usize; 4] = [10, 100, 1_000, 7_000];
+
+/// Instances for every eighteen endpoints, as at the target size.
+const ENDPOINTS_PER_INSTANCE: usize = 18;
+
+/// Failure domains at the target size.
+const FAILURE_DOMAINS: usize = 22;
+
+/// Choices in each decision round.
+const CHOICES: u64 = 200_000;
+
+/// Requests in flight for each endpoint while choices are measured.
+const IN_FLIGHT_PER_ENDPOINT: usize = 6;
+
+/// Engines of the cache rounds.
+const ENGINES: usize = 8;
+
+/// Batch slots of one engine.
+const SLOTS: usize = 8;
+
+/// Prompts that callers come back to.
+const PROMPTS: usize = 160;
+
+/// Bytes of such a prompt.
+const PROMPT_BYTES: usize = 4_096;
+
+/// Blocks that one engine's cache holds: a fifth of all prompts.
+const CACHE_BLOCKS: usize = 2_048;
+
+/// Callers at once in the cache rounds.
+const CALLERS: usize = 40;
+
+/// Requests in each cache round.
+const REQUESTS: usize = 2_000;
+
+pub(crate) fn run(seed: u64) {
+    let mut own = serde_json::Map::new();
+    let mut base = serde_json::Map::new();
+    for size in SIZES {
+        let (choice_ns, scan_ns, build_us) = decisions(seed, size);
+        output::line(
+            "routing",
+            seed,
+            json!({
+                "endpoints": size,
+                "choice_ns": choice_ns,
+                "scan_ns": scan_ns,
+                "build_us": build_us,
+            }),
+        );
+        own.insert(format!("choice_ns_{size}"), choice_ns.into());
+        base.insert(format!("choice_ns_{size}"), scan_ns.into());
+    }
+    let rounds = [Policy::Affinity, Policy::RoundRobin, Policy::LeastLoaded];
+    for policy in rounds {
+        output::progress("routing", policy.name());
+        let Some(round) = cache_round(seed, policy) else {
+            output::progress("routing", "no port for an engine");
+            return;
+        };
+        let ttft = |quantile| round.first_us.value_at_quantile(quantile);
+        output::line(
+            "routing",
+            seed,
+            json!({
+                "policy": policy.name(),
+                "hit_rate": round.hit_rate,
+                "first_token_p50_us": ttft(0.5),
+                "first_token_p99_us": ttft(0.99),
+                "failed": round.failed,
+            }),
+        );
+        let (figures, prefix) = match policy {
+            Policy::Affinity => (&mut own, ["", "least_loaded_"].as_slice()),
+            Policy::RoundRobin => (&mut base, [""].as_slice()),
+            Policy::LeastLoaded => (&mut base, ["least_loaded_"].as_slice()),
+        };
+        for prefix in prefix {
+            figures.insert(format!("{prefix}hit_rate"), round.hit_rate.into());
+            figures.insert(format!("{prefix}first_token_p50_us"), ttft(0.5).into());
+            figures.insert(format!("{prefix}first_token_p99_us"), ttft(0.99).into());
+        }
+    }
+    output::summary("routing", seed, own.into(), base.into());
+}
+
+/// Nanoseconds of a choice, of the scan that it replaces, and microseconds to build the table.
+fn decisions(seed: u64, size: usize) -> (u64, u64, u64) {
+    output::progress("routing", &format!("{size} endpoints"));
+    let view = view(size);
+    let started = Instant::now();
+    let table = RouteTable::build(&view, &RouteTable::default());
+    let build_us = started.elapsed().as_micros() as u64;
+    let Some(routes) = table.service("draft") else {
+        return (0, 0, build_us);
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    for _ in 0..size * IN_FLIGHT_PER_ENDPOINT {
+        if let Some(endpoint) = routes.choose(random.next_u64(), &[], 0) {
+            endpoint.load.begin();
+        }
+    }
+    let choice_ns = per_choice(|| routes.choose(random.next_u64(), &[], 0).map(|e| e.key));
+    let scan_ns = per_choice(|| scan(routes).map(|endpoint| endpoint.key));
+    (choice_ns, scan_ns, build_us)
+}
+
+fn per_choice(mut choose: impl FnMut() -> Option<EndpointKey>) -> u64 {
+    let started = Instant::now();
+    let mut choices = 0;
+    while choices < CHOICES && started.elapsed() < Duration::from_secs(1) {
+        for _ in 0..50 {
+            black_box(choose());
+        }
+        choices += 50;
+    }
+    (started.elapsed().as_nanos() / u128::from(choices)) as u64
+}
+
+/// The least loaded of all endpoints.
+fn scan(routes: &ServiceRoutes) -> Option<&RouteEndpoint> {
+    let endpoints = routes.endpoints().iter();
+    endpoints.min_by_key(|endpoint| endpoint.load.estimate(0))
+}
+
+fn view(size: usize) -> View {
+    let domain = |number: usize| format!("d{}", number % FAILURE_DOMAINS);
+    let mut endpoints = EndpointTable::default();
+    for number in 0..size {
+        let key = EndpointKey(number as u32);
+        let platform = PlatformEndpoint {
+            endpoint: format!("e{number}").into(),
+            service: "draft".into(),
+            failure_domain: domain(number).into(),
+            address: "127.0.0.1:1".into(),
+            tier: Tier::Firm,
+            phase: EndpointPhase::Running,
+            order: 0,
+        };
+        endpoints.endpoints.insert(key, Endpoint { key, platform });
+        let keys = endpoints.by_service.entry("draft".into());
+        keys.or_default().push(key);
+    }
+    let members = (0..size.div_ceil(ENDPOINTS_PER_INSTANCE).max(3)).map(|number| Member {
+        instance: format!("n{number}").into(),
+        incarnation: 1,
+        failure_domain: domain(number).into(),
+        address: "127.0.0.1:1".into(),
+        peer_address: "127.0.0.1:2".into(),
+        leaving: false,
+        suspect: false,
+        revision: 1,
+    });
+    View {
+        endpoints: Arc::new(endpoints),
+        members: Arc::new(members.collect()),
+        ..View::default()
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Policy {
+    Affinity,
+    RoundRobin,
+    LeastLoaded,
+}
+
+impl Policy {
+    fn name(self) -> &'static str {
+        match self {
+            Policy::Affinity => "affinity",
+            Policy::RoundRobin => "round_robin",
+            Policy::LeastLoaded => "least_loaded",
+        }
+    }
+}
+
+struct Round {
+    hit_rate: f64,
+    first_us: Histogram<u64>,
+    failed: u64,
+}
+
+/// Sends the same requests under one policy to engines with cold caches.
+fn cache_round(seed: u64, policy: Policy) -> Option<Round> {
+    actix_rt::System::new().block_on(async move {
+        let host = Host::start().ok()?;
+        let mut engines = Vec::new();
+        for number in 0..ENGINES {
+            let settings = EngineSettings::new(format!("e{number}"))
+                .tokens_per_s(400.0)
+                .slots(SLOTS as u32)
+                .cache_blocks(CACHE_BLOCKS);
+            engines.push(settings.start(&host).ok()?);
+        }
+        let table = RouteTable::build(&view(ENGINES), &RouteTable::default());
+        let routes = table.service("draft")?;
+        let sender = Sender {
+            policy,
+            routes,
+            engines: &engines,
+            turn: AtomicUsize::new(0),
+        };
+        let prompts = prompts(seed);
+        let next = AtomicUsize::new(0);
+        let callers = (0..CALLERS).map(|_| sender.caller(&prompts, &next));
+        let mut first_us = new_histogram();
+        let mut failed = 0;
+        for (part, lost) in futures::future::join_all(callers).await {
+            first_us.add(part).ok()?;
+            failed += lost;
+        }
+        let (hits, asked) = engines
+            .iter()
+            .map(|engine| engine.cache_use())
+            .fold((0, 0), |sum, used| (sum.0 + used.0, sum.1 + used.1));
+        Some(Round {
+            hit_rate: hits as f64 / asked.max(1) as f64,
+            first_us,
+            failed,
+        })
+    })
+}
+
+/// The prompts of all requests, some far more often than others.
+fn prompts(seed: u64) -> Vec<Arc<str>> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let texts: Vec<Arc<str>> = (0..PROMPTS)
+        .map(|number| format!("log {number} ").repeat(PROMPT_BYTES / 6).into())
+        .collect();
+    (0..REQUESTS)
+        .map(|_| {
+            let place: f64 = random.random::<f64>();
+            let number = (place * place * PROMPTS as f64) as usize;
+            texts[number.min(PROMPTS - 1)].clone()
+        })
+        .collect()
+}
+
+struct Sender<'a> {
+    policy: Policy,
+    routes: &'a ServiceRoutes,
+    engines: &'a [Arc<EngineStandin>],
+    turn: AtomicUsize,
+}
+
+impl Sender<'_> {
+    /// Sends requests one after another; returns the times to the first token.
+    async fn caller(&self, prompts: &[Arc<str>], next: &AtomicUsize) -> (Histogram<u64>, u64) {
+        let client = awc::Client::builder().disable_timeout().finish();
+        let mut times = new_histogram();
+        let mut failed = 0;
+        loop {
+            let number = next.fetch_add(1, Ordering::Relaxed);
+            let Some(prompt) = prompts.get(number) else {
+                return (times, failed);
+            };
+            let Some(endpoint) = self.choose(prompt) else {
+                failed += 1;
+                continue;
+            };
+            endpoint.load.begin();
+            match self.first_token(&client, endpoint, prompt, number).await {
+                Some(took) => times.saturating_record(took.as_micros() as u64),
+                None => failed += 1,
+            }
+            endpoint.load.end();
+        }
+    }
+
+    fn choose(&self, prompt: &str) -> Option<&RouteEndpoint> {
+        match self.policy {
+            Policy::Affinity => self.routes.choose(prompt_affinity(prompt), &[], 0),
+            Policy::LeastLoaded => scan(self.routes),
+            Policy::RoundRobin => {
+                let turn = self.turn.fetch_add(1, Ordering::Relaxed);
+                self.routes.endpoints().get(turn % ENGINES)
+            }
+        }
+    }
+
+    async fn first_token(
+        &self,
+        client: &awc::Client,
+        endpoint: &RouteEndpoint,
+        prompt: &Arc<str>,
+        number: usize,
+    ) -> Option<Duration> {
+        let engine = self.engines.get(endpoint.key.0 as usize)?;
+        let request = CompletionRequest {
+            model: "draft".into(),
+            prompt: prompt.clone(),
+            max_tokens: 24,
+            stream: true,
+            ..CompletionRequest::default()
+        };
+        let started = Instant::now();
+        let sent = client
+            .post(format!("http://{}/v1/completions", engine.address()))
+            .insert_header((REQUEST_ID_HEADER, format!("r{number}")))
+            .send_json(&request);
+        let mut response = sent.await.ok()?;
+        response.next().await?.ok()?;
+        let took = started.elapsed();
+        while let Some(part) = response.next().await {
+            part.ok()?;
+        }
+        Some(took)
+    }
+}
--- a/flamingoscale/src/gateway/entries.rs
+++ b/flamingoscale/src/gateway/entries.rs
@@ -23,9 +23,16 @@
 const MOST_ENTRIES: usize = 8;
 
 /// Picks addresses: near failure domains first, then the region, in random order so that callers
-/// spread; instances that leave or miss probes are left out while there are others.
-pub(crate) fn entries(view: &View, near: Option<&str>, random: &mut impl Rng) -> Entries {
-    let staying = view.members.iter().filter(|member| !member.leaving);
+/// spread; instances that leave or miss probes are left out while there are others. `leaving` is
+/// one that leaves though the view does not show it yet.
+pub(crate) fn entries(
+    view: &View,
+    near: Option<&str>,
+    leaving: Option<&str>,
+    random: &mut impl Rng,
+) -> Entries {
+    let staying = view.members.iter();
+    let staying = staying.filter(|m| !m.leaving && Some(&*m.instance) != leaving);
     let mut members: Vec<&Member> = staying.collect();
     members.shuffle(random);
     members.sort_by_key(|member| (member.suspect, distance(view, near, member)));
@@ -114,7 +121,7 @@
     fn near_and_healthy_instances_come_first_and_leaving_ones_never() {
         for seed in 0..20 {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
-            let answer = entries(&view(), Some("saiq"), &mut random);
+            let answer = entries(&view(), Some("saiq"), None, &mut random);
             let names: Vec<&str> = answer.entries.iter().map(|e| &*e.instance).collect();
             assert_eq!(names, ["near", "region", "far"]);
         }
--- a/flamingoscale/src/gateway/http.rs
+++ b/flamingoscale/src/gateway/http.rs
@@ -90,7 +90,9 @@
 
 async fn get_entries(gateway: Data<Gateway>, query: web::Query<EntriesQuery>) -> HttpResponse {
     let view = gateway.instance.view.load();
-    let found = entries(&view, query.near.as_deref(), &mut rand::rng());
+    let instance = &gateway.instance;
+    let leaving = instance.is_draining().then(|| &**instance.id());
+    let found = entries(&view, query.near.as_deref(), leaving, &mut rand::rng());
     HttpResponse::Ok().json(found)
 }
 
@@ -256,18 +258,25 @@
         Answer::Broken(broken) => broken_off(gateway, service, request_id, &broken),
         Answer::Whole(whole) => {
             count(gateway, service, "ran");
-            let mut response = head(whole.status, &whole.headers, "ran", request_id);
+            let mut response = head(gateway, whole.status, &whole.headers, "ran", request_id);
             response.body(whole.body)
         }
         Answer::Stream(streamed) => {
             count(gateway, service, "ran");
-            let mut response = head(streamed.status, &streamed.headers, "ran", request_id);
+            let mut response = head(
+                gateway,
+                streamed.status,
+                &streamed.headers,
+                "ran",
+                request_id,
+            );
             response.streaming(StreamBody::start(gateway.instance.clone(), streamed))
         }
     }
 }
 
 fn head(
+    gateway: &Gateway,
     status: u16,
     headers: &[(Arc<str>, Arc<str>)],
     outcome: &str,
@@ -280,6 +289,10 @@
     }
     response.insert_header((OUTCOME_HEADER, outcome));
     response.insert_header((REQUEST_ID_HEADER, request_id));
+    if gateway.instance.is_draining() {
+        // The caller looks for another address instead of using this connection again.
+        response.force_close();
+    }
     response
 }
 
@@ -304,7 +317,7 @@
     let (status, kind, message) = describe(&not_run.refusal);
     let line = &gateway.instance.timeline;
     line.record("gateway.refused", request_id, &[("kind", &kind)]);
-    let mut response = head(status, &[], "not-run", request_id);
+    let mut response = head(gateway, status, &[], "not-run", request_id);
     if let Some(after_ms) = not_run.retry_after_ms {
         response.insert_header(("retry-after", seconds(after_ms)));
     }
@@ -324,7 +337,7 @@
     let line = &gateway.instance.timeline;
     line.record("gateway.unknown", request_id, &[("reason", reason)]);
     let message = format!("{reason}: it may have run; repeat it only if that does no harm");
-    let mut response = head(status, &[], "unknown", request_id);
+    let mut response = head(gateway, status, &[], "unknown", request_id);
     if let Cause::NoVouching { retry_after_ms } = broken.cause {
         response.insert_header(("retry-after", seconds(retry_after_ms)));
     }
--- a/flamingoscale/src/gateway/stream.rs
+++ b/flamingoscale/src/gateway/stream.rs
@@ -60,7 +60,7 @@
 const WAITING_PIECES: usize = 256;
 
 /// A caller that takes nothing for this time is taken for gone.
-const READER_SILENCE: Duration = Duration::from_millis(15_000);
+const READER_SILENCE: Duration = Duration::from_millis(10_000);
 
 /// The answer could not be made whole; the connection is closed so that the caller sees it.
 #[derive(Clone, Copy, Debug, Display, Error)]
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -311,6 +311,11 @@
         lock(&self.shared.seen).with_key
     }
 
+    /// Prompt blocks that were found in the cache, and that were asked for.
+    pub fn cache_use(&self) -> (u64, u64) {
+        lock(&self.shared.cache).used
+    }
+
     /// Starts and crashes so far.
     pub fn boot(&self) -> u64 {
         lock(&self.shared.batch).boot
--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -29,6 +29,8 @@
     gap: u64,
     seq: u64,
     events: VecDeque<(Instant, CacheEvent)>,
+    /// Blocks that were found and that were asked for, since the start.
+    pub(super) used: (u64, u64),
 }
 
 impl PrefixCache {
@@ -40,6 +42,7 @@
             gap: settings.cache_event_gap,
             seq: 0,
             events: VecDeque::new(),
+            used: (0, 0),
         }
     }
 
@@ -56,7 +59,10 @@
         let hashes: Vec<u64> = ends.map(|end| xxh3_64(&bytes[..end])).collect();
         let mut missing = 0;
         for hash in hashes {
-            missing += usize::from(!self.touch(hash));
+            let found = self.touch(hash);
+            self.used.0 += u64::from(found);
+            self.used.1 += 1;
+            missing += usize::from(!found);
         }
         missing
     }
--- a/standin/tests/traffic.rs
+++ b/standin/tests/traffic.rs
@@ -7,5 +7,9 @@
 mod faults;
 #[path = "traffic/idempotency.rs"]
 mod idempotency;
+#[path = "traffic/load.rs"]
+mod load;
 #[path = "traffic/path.rs"]
 mod path;
+#[path = "traffic/shutdown.rs"]
+mod shutdown;
--- a/standin/tests/traffic/bed.rs
+++ b/standin/tests/traffic/bed.rs
@@ -56,12 +56,18 @@
 
 /// Three instances, two engines, two plain services whose calls may not be repeated.
 pub(crate) async fn bed() -> Bed {
+    bed_at(2_000.0).await
+}
+
+/// The same with engines of another speed.
+pub(crate) async fn bed_at(tokens_per_s: f64) -> Bed {
     let host = Host::start().expect("a thread");
     let mut builder = ClusterBuilder::default()
         .node("n1", "saiq")
         .node("n2", "shams")
         .node("n3", "nizwa")
         .organisation("lodges", 1, 0)
+        .organisation("limited", 1, 200)
         .service(service("draft", ServiceKind::Engine, true))
         .service(service("lookup", ServiceKind::Plain, false))
         .service(Service {
@@ -72,7 +78,7 @@
     let mut services = Vec::new();
     for (number, domain) in ["saiq", "shams"].into_iter().enumerate() {
         let name = format!("engine{number}");
-        let settings = EngineSettings::new(&*name).tokens_per_s(2_000.0);
+        let settings = EngineSettings::new(&*name).tokens_per_s(tokens_per_s);
         let engine = settings.first_version(3).start(&host).expect("a port");
         builder = builder.endpoint(&name, "draft", domain, engine.address());
         engines.push(engine);
@@ -133,9 +139,19 @@
     }
 
     pub(crate) async fn send(&self, node: usize, request: &CompletionRequest) -> ClientResponse {
+        self.send_as("lodges", node, request).await
+    }
+
+    pub(crate) async fn send_as(
+        &self,
+        organisation: &str,
+        node: usize,
+        request: &CompletionRequest,
+    ) -> ClientResponse {
+        let key = &self.cluster.keys[organisation];
         client()
             .post(self.url(node, "/v1/completions"))
-            .insert_header(("authorization", self.key()))
+            .insert_header(("authorization", format!("Bearer {key}")))
             .send_json(request)
             .await
             .expect("an answer")
