--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,11 +3,15 @@
 //! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
+mod fairness;
+mod gateway;
 mod lease;
+mod load;
 mod membership;
 mod orders;
 mod output;
 mod report;
+mod routing;
 mod timeline;
 mod usage;
 
@@ -55,11 +59,27 @@
         about: "takeover and time with two holders, against wall-clock timestamps",
         run: lease::run,
     },
+    Experiment {
+        name: "fairness",
+        about:
+            "the worst-served organisation while another floods, against first come, first served",
+        run: fairness::run,
+    },
+    Experiment {
+        name: "gateway",
+        about: "added latency and requests a second of one node, against a direct call",
+        run: gateway::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
         run: report::run,
     },
+    Experiment {
+        name: "routing",
+        about: "cost of a choice as endpoints grow; cache hits against other policies",
+        run: routing::run,
+    },
     Experiment {
         name: "timeline",
         about: "cost of recording an event",
