Give the time line's page an axis and a row for each part

Cause: on a rendered page, events of several parts at one moment hid each other, two parts shared a colour, and no time could be read off. Change: an axis with ten marks, four rows in a lane, sixteen colours.

--- a/flamingoctl/src/html.rs
+++ b/flamingoctl/src/html.rs
@@ -13,15 +13,24 @@
 const WIDTH_PX: u64 = 1_400;
 
 /// Height of one process's lane.
-const LANE_PX: usize = 46;
+const LANE_PX: usize = 64;
+
+/// Height of the axis above the lanes.
+const AXIS_PX: usize = 26;
+
+/// Marks on the axis.
+const MARKS: u64 = 10;
+
+/// Rows within a lane, so that parts that act at once stay apart.
+const ROWS: usize = 4;
 
 /// Space left of the lanes for names.
 const MARGIN_PX: u64 = 120;
 
 /// Colours for the parts of the system, by the first word of an event's kind.
-const COLOURS: [&str; 10] = [
+const COLOURS: [&str; 16] = [
     "#1b6ca8", "#c8553d", "#2e7d32", "#8e44ad", "#b7791f", "#00838f", "#ad1457", "#5d4037",
-    "#455a64", "#9e9d24",
+    "#455a64", "#9e9d24", "#e67e22", "#16a085", "#d81b60", "#3949ab", "#7cb342", "#000000",
 ];
 
 const STYLE: &str = "body{font:14px sans-serif;margin:24px;color:#222}h1{font-size:20px}\
@@ -51,7 +60,7 @@
     start_ms: u64,
     span_ms: u64,
     lanes: BTreeMap<String, usize>,
-    colours: BTreeMap<String, &'static str>,
+    rows: BTreeMap<String, usize>,
 }
 
 impl Layout {
@@ -59,18 +68,18 @@
         let start_ms = events.first().map_or(0, |event| event.stamp.wall_ms);
         let end_ms = events.last().map_or(0, |event| event.stamp.wall_ms);
         let mut lanes = BTreeMap::new();
-        let mut colours = BTreeMap::new();
+        let mut rows = BTreeMap::new();
         for event in events {
             let lane = lanes.len();
             lanes.entry(event.process.to_string()).or_insert(lane);
-            let colour = COLOURS[colours.len() % COLOURS.len()];
-            colours.entry(part(event).to_owned()).or_insert(colour);
+            let row = rows.len();
+            rows.entry(part(event).to_owned()).or_insert(row);
         }
         Self {
             start_ms,
             span_ms: (end_ms - start_ms).max(1),
             lanes,
-            colours,
+            rows,
         }
     }
 
@@ -80,13 +89,30 @@
     }
 
     fn colour(&self, event: &Event) -> &'static str {
-        self.colours.get(part(event)).copied().unwrap_or("#000")
+        colour(self.row(event))
+    }
+
+    fn row(&self, event: &Event) -> usize {
+        self.rows.get(part(event)).copied().unwrap_or(0)
+    }
+
+    fn write_axis(&self, page: &mut String, height: usize) {
+        for mark in 0..=MARKS {
+            let x = MARGIN_PX + (WIDTH_PX - MARGIN_PX - 20) * mark / MARKS;
+            let after_ms = self.span_ms * mark / MARKS;
+            let _ = write!(
+                page,
+                "<line x1=\"{x}\" y1=\"{AXIS_PX}\" x2=\"{x}\" y2=\"{height}\" stroke=\"#eee\"/>\
+                 <text x=\"{x}\" y=\"16\" font-size=\"11\" text-anchor=\"middle\" \
+                 fill=\"#777\">{after_ms} ms</text>"
+            );
+        }
     }
 
     fn write_key(&self, page: &mut String) {
         page.push_str("<p class=\"key\">");
-        for (part, colour) in &self.colours {
-            let part = escape(part);
+        for (part, &row) in &self.rows {
+            let (part, colour) = (escape(part), colour(row));
             let _ = write!(
                 page,
                 "<span><i class=\"dot\" style=\"background:{colour}\"></i>{part}</span>"
@@ -96,10 +122,11 @@
     }
 
     fn write_lanes(&self, page: &mut String, events: &[Event]) {
-        let height = self.lanes.len() * LANE_PX + 10;
+        let height = AXIS_PX + self.lanes.len() * LANE_PX + 10;
         let _ = write!(page, "<svg width=\"{WIDTH_PX}\" height=\"{height}\">");
+        self.write_axis(page, height);
         for (process, lane) in &self.lanes {
-            let y = lane * LANE_PX + LANE_PX / 2 + 5;
+            let y = AXIS_PX + lane * LANE_PX + LANE_PX / 2;
             let process = escape(process);
             let _ = write!(
                 page,
@@ -116,7 +143,8 @@
 
     fn write_dot(&self, page: &mut String, event: &Event) {
         let lane = self.lanes.get(&*event.process).copied().unwrap_or(0);
-        let y = lane * LANE_PX + LANE_PX / 2 + 5;
+        let row_px = LANE_PX / (ROWS + 1);
+        let y = AXIS_PX + lane * LANE_PX + (self.row(event) % ROWS + 1) * row_px;
         let (x, colour) = (self.x_px(event), self.colour(event));
         let title = escape(&format!(
             "{} {} {}",
@@ -153,6 +181,10 @@
     }
 }
 
+fn colour(row: usize) -> &'static str {
+    COLOURS[row % COLOURS.len()]
+}
+
 fn part(event: &Event) -> &str {
     event.kind.split('.').next().unwrap_or("")
 }
