--- a/flamingoscale/src/controller/orders/policy/tests.rs
+++ b/flamingoscale/src/controller/orders/policy/tests.rs
@@ -10,6 +10,9 @@
 const LOOK_MS: u64 = 1_000;
 const SLOTS: u32 = 10;
 
+/// Looks after which a fleet has shrunk to what a lower load needs.
+const SHRUNK_LOOKS: u32 = 600;
+
 /// A policy with a platform that obeys, but for what is shut.
 struct Bench {
     now_ms: u64,
@@ -156,13 +159,13 @@
     assert_eq!(bench.count(None, None), 9);
     assert_eq!(bench.count(None, Some(Tier::Firm)), 2);
     let starts = bench.starts;
-    for round in 0..600 {
+    for round in 0..2 * SHRUNK_LOOKS {
         bench.load = Some(if round % 20 < 10 { 70 } else { 30 });
         bench.look();
     }
     assert_eq!((bench.starts, bench.stops), (starts, 0));
     bench.load = Some(0);
-    bench.run(200);
+    bench.run(SHRUNK_LOOKS);
     assert_eq!(bench.count(None, None), least);
     assert_eq!(bench.count(None, Some(Tier::Firm)), 2);
 }
@@ -174,7 +177,7 @@
     bench.run(10);
     let before = bench.count(None, None);
     bench.load = None;
-    bench.run(600);
+    bench.run(2 * SHRUNK_LOOKS);
     assert_eq!(bench.count(None, None), before);
 }
 
@@ -221,7 +224,7 @@
     let refused = bench.orders;
     bench.shut.clear();
     bench.load = Some(0);
-    bench.run(400);
+    bench.run(2 * SHRUNK_LOOKS);
     assert_eq!(bench.count(None, Some(Tier::Firm)), 2);
     assert!(bench.orders >= refused);
 }
--- a/flamingoscale/src/controller/orders/target.rs
+++ b/flamingoscale/src/controller/orders/target.rs
@@ -6,7 +6,7 @@
 const UP_AFTER_MS: u64 = 3_000;
 
 /// The highest need of this long a time is what the number falls to.
-const DOWN_AFTER_MS: u64 = 120_000;
+const DOWN_AFTER_MS: u64 = 360_000;
 
 /// Slots are filled to this part, in percent, so that a caller seldom waits for one.
 const FILL_PERCENT: u64 = 80;
