Measure what control costs a node against nodes, endpoints and changes

Cause: docs/CAPACITY.md needs slopes, and peer traffic was not counted. Change: the bench's capacity experiment over real daemons on loopback; peer.sent_bytes counts the payload of both directions' frames.

--- /dev/null
+++ b/bench/src/capacity.rs
@@ -0,0 +1,332 @@
+//! What control costs a node: processor time, memory, bytes and appends against the number of
+//! nodes, endpoints and changes. The slopes carry `docs/CAPACITY.md`.
+
+use std::{
+    fmt::Write,
+    net::SocketAddr,
+    sync::Arc,
+    thread::sleep,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::{
+    daemon::Daemon,
+    settings::SettingsBuilder,
+    wire::{
+        EndpointPhase,
+        ListedInstance,
+        PlatformEndpoint,
+        SubmitQuestionnaire,
+        Tier, //
+    }, //
+};
+use serde_json::{
+    json,
+    Value, //
+};
+use standin::{
+    face::Host,
+    platform::{
+        Platform,
+        PlatformSettings, //
+    },
+    service::ServiceStandin, //
+};
+
+use crate::{
+    output,
+    process, //
+};
+
+/// Shown to the operators' face.
+const TOKEN: &str = "0123456789abcdef";
+
+/// Failure domains of the fleet.
+const DOMAINS: [&str; 4] = ["saiq", "shams", "nizwa", "hamra"];
+
+/// Time until a fleet is counted as settled.
+const SETTLE: Duration = Duration::from_secs(8);
+
+/// Length of one measurement.
+const MEASURE: Duration = Duration::from_secs(10);
+
+/// Longest wait for a change to be in force on all nodes.
+const IN_FORCE_WAIT: Duration = Duration::from_secs(30);
+
+/// Pause between two looks at who has a change in force.
+const IN_FORCE_POLL: Duration = Duration::from_millis(1);
+
+/// Stand-ins that share a thread.
+const SERVICES_PER_HOST: usize = 32;
+
+/// One round: how large the fleet is and how often its configuration changes.
+#[derive(Clone, Copy)]
+struct Round {
+    nodes: usize,
+    endpoints: usize,
+    changes: usize,
+}
+
+/// The target's ratio of endpoints and changes is far below the largest of these; each axis is
+/// varied alone so that its slope can be read off. The largest fleet comes first because memory
+/// that an earlier round gave back to the allocator would hide what a later one takes.
+const ROUNDS: [Round; 8] = [
+    Round::new(48, 8, 0),
+    Round::new(24, 8, 0),
+    Round::new(12, 8, 0),
+    Round::new(6, 8, 0),
+    Round::new(12, 64, 0),
+    Round::new(12, 256, 0),
+    Round::new(12, 8, 20),
+    Round::new(12, 8, 100),
+];
+
+impl Round {
+    const fn new(nodes: usize, endpoints: usize, changes: usize) -> Self {
+        Self {
+            nodes,
+            endpoints,
+            changes,
+        }
+    }
+}
+
+/// What one round came to.
+struct Figures {
+    round: Round,
+    cpu_percent: f64,
+    resident_kib: f64,
+    peer_bytes_per_s: f64,
+    loopback_bytes_per_s: f64,
+    appends_per_s: f64,
+    in_force_ms: Vec<u64>,
+}
+
+pub(crate) fn run(seed: u64) {
+    let mut all = Vec::new();
+    for round in ROUNDS {
+        let what = format!(
+            "{} nodes, {} endpoints, {} changes",
+            round.nodes, round.endpoints, round.changes
+        );
+        output::progress("capacity", &what);
+        match measure(round) {
+            Ok(figures) => {
+                output::line("capacity", seed, figures.to_json());
+                all.push(figures);
+            }
+            Err(error) => output::progress("capacity", &format!("failed: {error}")),
+        }
+    }
+    let (Some(large), Some(small)) = (all.first(), all.get(3)) else {
+        return;
+    };
+    // The baseline is the small fleet: what stays flat with the number of nodes is affordable.
+    output::summary("capacity", seed, large.to_json(), small.to_json());
+}
+
+impl Figures {
+    fn to_json(&self) -> Value {
+        let mut in_force_ms = self.in_force_ms.clone();
+        in_force_ms.sort_unstable();
+        json!({
+            "nodes": self.round.nodes,
+            "endpoints": self.round.endpoints,
+            "changes": self.round.changes,
+            "cpu_percent_of_a_core_per_node": self.cpu_percent,
+            "resident_kib_per_node": self.resident_kib,
+            "peer_payload_bytes_per_s_per_node": self.peer_bytes_per_s,
+            "all_loopback_bytes_per_s_per_node": self.loopback_bytes_per_s,
+            "appends_per_s": self.appends_per_s,
+            "in_force_median_ms": in_force_ms.get(in_force_ms.len() / 2),
+            "in_force_worst_ms": in_force_ms.last(),
+        })
+    }
+}
+
+/// A fleet on loopback with the platform's stand-in.
+struct Fleet {
+    host: Host,
+    platform: Platform,
+    /// Kept so that they go on running.
+    services: Vec<Arc<ServiceStandin>>,
+    daemons: Vec<Daemon>,
+}
+
+fn measure(round: Round) -> Result<Figures, String> {
+    let before_kib = process::resident_kib();
+    let fleet = Fleet::start(round)?;
+    fleet.submit(questionnaire(round.endpoints))?;
+    sleep(SETTLE);
+    let after_kib = process::resident_kib();
+    let figures = fleet.observe(round, after_kib.saturating_sub(before_kib));
+    fleet.stop();
+    figures
+}
+
+impl Fleet {
+    fn start(round: Round) -> Result<Self, String> {
+        let host = Host::start().map_err(|error| error.to_string())?;
+        let platform = PlatformSettings::default()
+            .start(&host)
+            .map_err(|error| error.to_string())?;
+        let mut fleet = Self {
+            host,
+            platform,
+            services: Vec::new(),
+            daemons: Vec::new(),
+        };
+        fleet.add_endpoints(round.endpoints)?;
+        for number in 0..round.nodes {
+            fleet.add_node(number)?;
+        }
+        Ok(fleet)
+    }
+
+    fn add_endpoints(&mut self, count: usize) -> Result<(), String> {
+        let mut host = self.host.clone();
+        for number in 0..count {
+            if number % SERVICES_PER_HOST == 0 {
+                host = Host::start().map_err(|error| error.to_string())?;
+            }
+            let endpoint: Arc<str> = format!("lookup-{number}").into();
+            let service = ServiceStandin::start(&host, 0, endpoint.clone(), 0)
+                .map_err(|error| error.to_string())?;
+            let listed = PlatformEndpoint {
+                endpoint,
+                service: "lookup".into(),
+                failure_domain: DOMAINS[number % DOMAINS.len()].into(),
+                address: service.address().to_string().into(),
+                tier: Tier::Firm,
+                phase: EndpointPhase::Running,
+                order: 0,
+            };
+            self.platform.add_endpoint(listed, service.clone());
+            self.services.push(service);
+        }
+        Ok(())
+    }
+
+    fn add_node(&mut self, number: usize) -> Result<(), String> {
+        let domain = DOMAINS[number % DOMAINS.len()];
+        let platform = self.platform.address();
+        let mut settings = SettingsBuilder::new(format!("n{number}"), domain, platform, platform)
+            .operator_token(TOKEN)
+            .traffic_threads(1);
+        if let Some(first) = self.daemons.first() {
+            settings = settings.seed(first.peer_address());
+        }
+        let daemon = Daemon::start(settings.build()).map_err(|error| error.to_string())?;
+        self.platform.list_instance(ListedInstance {
+            instance: daemon.instance().id().clone(),
+            peer_address: daemon.peer_address().to_string().into(),
+            failure_domain: domain.into(),
+            leaving: false,
+        });
+        self.daemons.push(daemon);
+        Ok(())
+    }
+
+    fn observe(&self, round: Round, resident_kib: u64) -> Result<Figures, String> {
+        let (cpu_ms, sent) = (process::cpu_ms(), self.peer_bytes());
+        let (loopback, appends) = (process::loopback_bytes(), self.platform.appends());
+        let start = Instant::now();
+        let mut in_force_ms = Vec::new();
+        for number in 0..round.changes {
+            let due = MEASURE * number as u32 / round.changes as u32;
+            sleep(due.saturating_sub(start.elapsed()));
+            in_force_ms.push(self.change(round.endpoints, number)?);
+        }
+        sleep(MEASURE.saturating_sub(start.elapsed()));
+        let took_s = start.elapsed().as_secs_f64();
+        let nodes = self.daemons.len() as f64;
+        let spent_ms = process::cpu_ms() - cpu_ms;
+        // Every byte sent is a byte received by another node.
+        let peer_bytes = 2 * (self.peer_bytes() - sent);
+        let crossed = process::loopback_bytes() - loopback;
+        Ok(Figures {
+            round,
+            cpu_percent: spent_ms as f64 / 10.0 / took_s / nodes,
+            resident_kib: resident_kib as f64 / nodes,
+            peer_bytes_per_s: peer_bytes as f64 / took_s / nodes,
+            loopback_bytes_per_s: crossed as f64 / took_s / nodes,
+            appends_per_s: (self.platform.appends() - appends) as f64 / took_s,
+            in_force_ms,
+        })
+    }
+
+    fn peer_bytes(&self) -> u64 {
+        let daemons = self.daemons.iter();
+        daemons
+            .map(|daemon| daemon.instance().metrics.counted("peer.sent_bytes"))
+            .sum()
+    }
+
+    /// Submits a changed questionnaire and returns how long it took to be in force on all nodes.
+    fn change(&self, endpoints: usize, number: usize) -> Result<u64, String> {
+        let start = Instant::now();
+        let text = format!("; change {number}\n{}", questionnaire(endpoints));
+        self.submit(text)?;
+        Ok(start.elapsed().as_millis() as u64)
+    }
+
+    fn submit(&self, text: String) -> Result<(), String> {
+        let daemon = self.daemons.first().ok_or("no nodes")?;
+        let base_revision = daemon.instance().view.load().revision;
+        let body = SubmitQuestionnaire {
+            base_revision,
+            text: text.into(),
+        };
+        let revision = post(daemon.address(), &body)?;
+        let start = Instant::now();
+        while !self.has_everywhere(revision) {
+            if start.elapsed() > IN_FORCE_WAIT {
+                return Err(format!("revision {revision} is not in force everywhere"));
+            }
+            sleep(IN_FORCE_POLL);
+        }
+        Ok(())
+    }
+
+    fn has_everywhere(&self, revision: u64) -> bool {
+        let mut daemons = self.daemons.iter();
+        daemons.all(|daemon| daemon.instance().view.load().revision >= revision)
+    }
+
+    fn stop(self) {
+        for daemon in self.daemons {
+            daemon.kill();
+        }
+    }
+}
+
+fn post(address: SocketAddr, body: &SubmitQuestionnaire) -> Result<u64, String> {
+    let url = format!("http://{address}/admin/questionnaire");
+    actix_rt::System::new().block_on(async {
+        let client = awc::Client::builder().timeout(IN_FORCE_WAIT).finish();
+        let request = client.post(url).bearer_auth(TOKEN);
+        let mut response = request
+            .send_json(body)
+            .await
+            .map_err(|error| error.to_string())?;
+        let answer: Value = response.json().await.map_err(|error| error.to_string())?;
+        answer["revision"].as_u64().ok_or(answer.to_string())
+    })
+}
+
+fn questionnaire(endpoints: usize) -> String {
+    let mut text = String::new();
+    for domain in DOMAINS {
+        let _ = writeln!(text, "[failure-domain {domain}]\nregion = hajar\n");
+    }
+    let _ = write!(
+        text,
+        "[organisation lodges]\nweight = 1\n\n[service lookup]\nkind = plain\nrepeatable = yes\n\
+         firm_floor = {endpoints}\nceiling = {endpoints}\nslots = 32\n\n[tolerances]\n\
+         withdrawal_ms = 5000\n"
+    );
+    text
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,10 +3,12 @@
 //! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
+mod capacity;
 mod fairness;
 mod gateway;
 mod load;
 mod output;
+mod process;
 mod report;
 mod routing;
 mod timeline;
@@ -46,6 +48,11 @@
         about: "added latency and requests a second of one node, against a direct call",
         run: gateway::run,
     },
+    Experiment {
+        name: "capacity",
+        about: "what control costs a node against nodes, endpoints and changes",
+        run: capacity::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
--- a/flamingoscale/src/metrics.rs
+++ b/flamingoscale/src/metrics.rs
@@ -68,6 +68,12 @@
         self.events.get_or_create(&label).inc();
     }
 
+    /// Adds a number of events, or of bytes, of a kind.
+    pub fn add(&self, kind: &str, count: u64) {
+        let label = KindLabel { kind: kind.into() };
+        self.events.get_or_create(&label).inc_by(count);
+    }
+
     /// Returns how many events of a kind were counted.
     pub fn counted(&self, kind: &str) -> u64 {
         let label = KindLabel { kind: kind.into() };
--- a/flamingoscale/src/peer/pool.rs
+++ b/flamingoscale/src/peer/pool.rs
@@ -264,7 +264,10 @@
             from: instance.id().clone(),
             body: &call.request,
         };
-        frame::encode(&frame).map_err(|error| not_sent(&call.peer, error.to_string()))
+        let bytes = frame::encode(&frame);
+        let bytes = bytes.map_err(|error| not_sent(&call.peer, error.to_string()))?;
+        instance.metrics.add("peer.sent_bytes", bytes.len() as u64);
+        Ok(bytes)
     }
 
     /// A stream that the peer refused by its protocol was not processed; anything else may be.
--- a/flamingoscale/src/peer/server.rs
+++ b/flamingoscale/src/peer/server.rs
@@ -243,6 +243,8 @@
             instance.metrics.count("peer.reply_too_large");
             return send.send_reset(Reason::INTERNAL_ERROR);
         };
+        let metrics = &instance.metrics;
+        metrics.add("peer.sent_bytes", bytes.len() as u64);
         if send_all(&mut send, bytes).await.is_err() {
             return;
         }
