Tell a slow log from one that is away, and measure state

A read that took longer than 1.5 s was cut off, so a log that answers in 2 s would have stopped all changes though every append took effect. A read now counts as failed for freshness after one second, its records are still taken when they come, and the next read starts at once on another connection.

The new experiment measures folding at the target size, the time until a change is in force, an outage, and racing operators against a writer that is serialised by a lease.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod output;
 mod report;
+mod state;
 mod timeline;
 
 use std::process::ExitCode;
@@ -36,6 +37,11 @@
         about: "gathers docs/measurements/*.jsonl into a table and plots",
         run: report::run,
     },
+    Experiment {
+        name: state::NAME,
+        about: "fold, snapshots, time until a change is in force, racing changes",
+        run: state::run,
+    },
     Experiment {
         name: "timeline",
         about: "cost of recording an event",
--- /dev/null
+++ b/bench/src/state.rs
@@ -0,0 +1,34 @@
+//! State that lasts: the fold, its snapshots, the time until a change is in force everywhere, and
+//! conditional appends against a writer that is serialised by a lease.
+
+use crate::output;
+
+mod cluster;
+mod fold;
+mod in_force;
+mod outage;
+mod race;
+
+pub(crate) const NAME: &str = "state";
+
+/// Instances of the users' sizes of today, and four times as many.
+const SIZES: [usize; 2] = [12, 48];
+
+pub(crate) fn run(seed: u64) {
+    fold::run(seed);
+    for size in SIZES {
+        in_force::run(seed, size);
+    }
+    outage::run(seed, outage::Kind::Refusing);
+    outage::run(seed, outage::Kind::Silent);
+    let conditional = race::run(seed, race::Way::Conditional);
+    let leased = race::run(seed, race::Way::Lease);
+    output::summary(NAME, seed, conditional, leased);
+}
+
+/// A quantile of measured values.
+pub(crate) fn quantile(values: &mut [u64], share: f64) -> u64 {
+    values.sort_unstable();
+    let at = (values.len().saturating_sub(1) as f64 * share).round() as usize;
+    values.get(at).copied().unwrap_or(0)
+}
--- /dev/null
+++ b/bench/src/state/cluster.rs
@@ -0,0 +1,199 @@
+//! Instances in this process that share the stand-in platform over HTTP and talk over `h2`.
+
+use std::{
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use actix_rt::Arbiter;
+use flamingoscale::{
+    clock::BootClock,
+    control::{
+        self,
+        ControlHandle, //
+    },
+    controller::{
+        ControlContext,
+        Controller, //
+    },
+    instance::{
+        Control,
+        Instance, //
+    },
+    log::LogController,
+    membership::MembershipController,
+    peer::{
+        self,
+        PeerPool,
+        PeerRouter, //
+    },
+    settings::SettingsBuilder,
+    state::LeaseEntry, //
+};
+use futures::{
+    channel::{
+        mpsc,
+        oneshot, //
+    },
+    StreamExt as _, //
+};
+use standin::{
+    face::Host,
+    platform::{
+        Platform,
+        PlatformSettings, //
+    }, //
+};
+
+/// Failure domains of the instances.
+const DOMAINS: [&str; 4] = ["saiq", "shams", "nizwa", "hamra"];
+
+/// Longest wait for anything that must happen.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A question for a lease of the fold.
+type Question = (Arc<str>, oneshot::Sender<Option<LeaseEntry>>);
+
+/// Answers questions about leases on the control thread.
+struct Probe {
+    questions: mpsc::UnboundedReceiver<Question>,
+}
+
+impl Controller for Probe {
+    fn name(&self) -> &'static str {
+        "probe"
+    }
+
+    fn start(mut self: Box<Self>, context: ControlContext) {
+        actix_rt::spawn(async move {
+            while let Some((lease, answer)) = self.questions.next().await {
+                let entry = context.state.borrow().leases.get(&lease).cloned();
+                let _ = answer.send(entry);
+            }
+        });
+    }
+}
+
+/// One instance without traffic.
+pub(crate) struct Node {
+    pub(crate) instance: Arc<Instance>,
+    pub(crate) control: Arc<dyn Control>,
+    questions: mpsc::UnboundedSender<Question>,
+    peers: Arbiter,
+    handle: ControlHandle,
+}
+
+impl Node {
+    fn start(index: usize, platform: SocketAddr, seed: Option<SocketAddr>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a port");
+        let address = listener.local_addr().expect("the listener is bound");
+        let domain = DOMAINS[index % DOMAINS.len()];
+        let name = format!("n{index}");
+        let mut settings =
+            SettingsBuilder::new(name, domain, platform, platform).peer_address(address);
+        if let Some(seed) = seed {
+            settings = settings.seed(seed);
+        }
+        let incarnation = 1 + index as u64;
+        let clock = Arc::new(BootClock);
+        let instance = Arc::new(Instance::new(settings.build(), incarnation, clock));
+        Self::run(instance, listener)
+    }
+
+    fn run(instance: Arc<Instance>, listener: TcpListener) -> Self {
+        let (membership, membership_handler) = MembershipController::new(instance.clone());
+        let (log, log_handler, control) = LogController::new(instance.clone());
+        let router = PeerRouter::default()
+            .membership(membership_handler)
+            .log(log_handler);
+        instance.set_peers(PeerPool::new(instance.clone()));
+        instance.set_control(control.clone());
+        let peers = Arbiter::new();
+        let served = instance.clone();
+        peers.spawn(async move {
+            let _ = peer::serve(served, listener, router).await;
+        });
+        let (questions, receiver) = mpsc::unbounded();
+        let probe = Probe {
+            questions: receiver,
+        };
+        let controllers: Vec<Box<dyn Controller>> = vec![Box::new(membership), Box::new(probe)];
+        let handle = control::start(instance.clone(), log, controllers);
+        Self {
+            instance,
+            control,
+            questions,
+            peers,
+            handle: handle.expect("the experiment runs in a system"),
+        }
+    }
+
+    /// A lease as this instance's fold has it.
+    pub(crate) async fn lease(&self, lease: &str) -> Option<LeaseEntry> {
+        let (answer, entry) = oneshot::channel();
+        let _ = self.questions.unbounded_send((lease.into(), answer));
+        entry.await.ok().flatten()
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.instance.view.load().revision
+    }
+}
+
+/// Instances and their platform.
+pub(crate) struct Cluster {
+    pub(crate) platform: Platform,
+    pub(crate) nodes: Vec<Node>,
+    _host: Host,
+}
+
+impl Cluster {
+    /// Starts the instances and waits until all know all and are fresh.
+    pub(crate) async fn start(size: usize) -> Self {
+        let host = Host::start().expect("the machine gives a thread");
+        let platform = PlatformSettings::default().start(&host);
+        let platform = platform.expect("loopback has a port");
+        let mut nodes: Vec<Node> = Vec::new();
+        for index in 0..size {
+            let seed = nodes
+                .first()
+                .map(|node| node.instance.settings.peer_address);
+            nodes.push(Node::start(index, platform.address(), seed));
+        }
+        let cluster = Self {
+            platform,
+            nodes,
+            _host: host,
+        };
+        cluster
+            .all(|node| {
+                let view = node.instance.view.load();
+                view.members.len() == size && node.instance.view.is_fresh(node.instance.now_ms())
+            })
+            .await;
+        cluster
+    }
+
+    /// Waits until something holds on all instances.
+    pub(crate) async fn all(&self, holds: impl Fn(&Node) -> bool) {
+        let start = Instant::now();
+        while !self.nodes.iter().all(&holds) {
+            assert!(start.elapsed() < PATIENCE, "it never held on all");
+            actix_rt::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    pub(crate) fn stop(self) {
+        for node in self.nodes {
+            node.handle.stop();
+            node.peers.stop();
+        }
+    }
+}
--- a/flamingoscale/src/log.rs
+++ b/flamingoscale/src/log.rs
@@ -64,6 +64,18 @@
     Standing,
 }
 
+/// What an instance's own last read of the log came to.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Sight {
+    /// It did not read the log lately.
+    #[default]
+    Untried,
+    /// The log answered.
+    Reached,
+    /// The log did not answer, or refused.
+    Away,
+}
+
 /// How an instance stands towards the log.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Standing {
@@ -71,8 +83,8 @@
     pub folded: u64,
     /// How long the instance still counts as fresh; none if it does not.
     pub fresh_for_ms: Option<u64>,
-    /// Whether its own last try to read the log, a short time ago, failed.
-    pub log_away: bool,
+    /// What became of its own last read of the log.
+    pub sight: Sight,
     /// Keys that are denied there and not yet withdrawn in the log.
     pub denied: Vec<Arc<str>>,
 }
--- a/flamingoscale/src/log/actor.rs
+++ b/flamingoscale/src/log/actor.rs
@@ -1,7 +1,10 @@
 //! The actor that carries events into the cores of the log client and their actions out.
 
 use std::{
-    collections::BTreeMap,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     sync::Arc,
     time::Duration, //
 };
@@ -72,6 +75,9 @@
 /// Most records of one read.
 const READ_RECORDS: usize = 512;
 
+/// After this time beyond what it asked the log to wait, a read counts as failed.
+const OVERDUE_MS: u64 = 1_000;
+
 /// Pause before a member that learnt of a denial appends it, for each turn.
 const DENIAL_TURN_MS: u64 = 1_000;
 
@@ -99,6 +105,9 @@
     /// The earliest offset that the log kept when it was last read.
     pub(crate) earliest: u64,
     was_fresh: bool,
+    /// Reads that are under way and not overdue.
+    reads: BTreeSet<u64>,
+    last_read: u64,
     last_members: Arc<Vec<Member>>,
     waiters: BTreeMap<Ticket, Waiter>,
 }
@@ -151,6 +160,8 @@
             next_poll_ms: 0,
             earliest: 0,
             was_fresh: false,
+            reads: BTreeSet::new(),
+            last_read: 0,
             last_members: Arc::default(),
             waiters: BTreeMap::new(),
             context,
@@ -250,7 +261,7 @@
         }
     }
 
-    /// Starts the next read; one is under way at any time.
+    /// Starts the next read; one that isn't overdue is under way at any time.
     fn read_next(&mut self, actor: &mut Context<Self>) {
         let now_ms = self.instance().now_ms();
         let members = self.members();
@@ -264,12 +275,34 @@
     }
 
     fn read_log(&mut self, asked_ms: u64, from: u64, wait_ms: u64, actor: &mut Context<Self>) {
+        self.last_read += 1;
+        let number = self.last_read;
+        self.reads.insert(number);
         let log = self.context.platform.log.clone();
         let call = async move { log.read(from, READ_RECORDS, wait_ms).await };
         actor.spawn(call.into_actor(self).map(move |result, this, actor| {
-            this.log_answered(asked_ms, from, result);
-            this.read_next(actor);
+            if this.reads.remove(&number) {
+                this.log_answered(asked_ms, from, result);
+                this.read_next(actor);
+            } else if let Ok(read) = result {
+                this.log_read(asked_ms, from, read);
+            }
         }));
+        let overdue = Duration::from_millis(wait_ms + OVERDUE_MS);
+        actor.run_later(overdue, move |this, actor| this.read_overdue(number, actor));
+    }
+
+    /// A read takes too long for the log to count as there. Its records are still welcome, but
+    /// the next read doesn't wait for it: it may be on a connection that has gone silent.
+    fn read_overdue(&mut self, number: u64, actor: &mut Context<Self>) {
+        if !self.reads.remove(&number) {
+            return;
+        }
+        let now_ms = self.instance().now_ms();
+        let reason = "slow".into();
+        self.log_failed(now_ms, &PlatformError::Unknown { reason });
+        self.publish_freshness(now_ms);
+        self.read_next(actor);
     }
 
     fn log_answered(&mut self, asked_ms: u64, from: u64, result: Result<LogRead, PlatformError>) {
@@ -288,7 +321,7 @@
             self.instance().timeline.record("log.back", "", &[]);
         }
         self.follower.log_read();
-        self.freshness.reached();
+        self.freshness.reached(self.instance().now_ms());
         self.earliest = read.earliest;
         let records: Vec<(u64, Bytes)> = read
             .records
@@ -320,6 +353,7 @@
         self.follower.log_failed(now_ms, &members);
         self.freshness.failed(now_ms);
         self.policy.log_away();
+        self.release_pulls();
     }
 
     /// Records that are needed have left the log: a snapshot must make up for them.
--- a/flamingoscale/src/log/follower.rs
+++ b/flamingoscale/src/log/follower.rs
@@ -11,6 +11,7 @@
 use crate::{
     log::{
         relays,
+        Sight,
         Standing, //
     },
     state::{
@@ -213,10 +214,11 @@
     /// A peer answered. One that is not fresh itself is passed over for a while, so that this
     /// instance looks for itself.
     pub(crate) fn peer_answered(&mut self, now_ms: u64, peer: &Arc<str>, standing: &Standing) {
-        if standing.log_away && !self.is_relay_failing {
+        let is_relay_failing = standing.sight == Sight::Away;
+        if is_relay_failing && !self.is_relay_failing {
             self.next_probe_ms = now_ms;
         }
-        self.is_relay_failing = standing.log_away;
+        self.is_relay_failing = is_relay_failing;
         if standing.fresh_for_ms.is_none() && !self.is_failing {
             self.pause(now_ms, peer);
         }
@@ -373,7 +375,7 @@
         let standing = Standing {
             folded: 5,
             fresh_for_ms: Some(3_000),
-            log_away: true,
+            sight: Sight::Away,
             denied: Vec::new(),
         };
         follower.peer_answered(0, &first, &standing);
--- a/flamingoscale/src/log/freshness.rs
+++ b/flamingoscale/src/log/freshness.rs
@@ -10,7 +10,10 @@
 };
 
 use crate::{
-    log::Standing,
+    log::{
+        Sight,
+        Standing, //
+    },
     view::Member, //
 };
 
@@ -18,16 +21,16 @@
 /// within the tolerance for withdrawn keys.
 pub(crate) const FRESH_MS: u64 = 4_000;
 
-/// How long a failed read of the log counts as finding it away.
-const AWAY_MS: u64 = 5_000;
+/// How long the outcome of a read tells something about the log.
+const SIGHT_MS: u64 = 5_000;
 
 /// What the instance knows of its own freshness.
 #[derive(Debug)]
 pub(crate) struct Freshness {
     instance: Arc<str>,
     fresh_until_ms: u64,
-    /// When a read of the log last failed, unless one worked since.
-    failed_ms: Option<u64>,
+    /// What the last read of the log came to, and when.
+    sight: (Sight, u64),
     /// Members since the log was last confirmed. One that vanished without leaving still counts,
     /// or else an isolated instance would soon be a majority of one.
     electorate: BTreeSet<Arc<str>>,
@@ -40,7 +43,7 @@
         Self {
             instance,
             fresh_until_ms: 0,
-            failed_ms: None,
+            sight: (Sight::Untried, 0),
             electorate: BTreeSet::new(),
             is_established: false,
         }
@@ -57,10 +60,14 @@
         (left_ms > 0).then_some(left_ms)
     }
 
-    /// Whether this instance's own last try to read the log, a short time ago, failed.
-    pub(crate) fn is_log_away(&self, now_ms: u64) -> bool {
-        self.failed_ms
-            .is_some_and(|failed_ms| now_ms < failed_ms + AWAY_MS)
+    /// What this instance's own last read of the log came to, if that was a short time ago.
+    pub(crate) fn sight(&self, now_ms: u64) -> Sight {
+        let (sight, seen_ms) = self.sight;
+        if now_ms < seen_ms + SIGHT_MS {
+            sight
+        } else {
+            Sight::Untried
+        }
     }
 
     /// Takes in who is a member now.
@@ -76,20 +83,19 @@
 
     /// The log was read to its head by a read that began at `asked_ms`.
     pub(crate) fn confirmed(&mut self, asked_ms: u64, members: &[Member]) {
-        self.failed_ms = None;
         self.electorate.clear();
         self.members(members);
         self.extend(asked_ms + FRESH_MS);
     }
 
     /// The log could be read, though not yet to its head.
-    pub(crate) fn reached(&mut self) {
-        self.failed_ms = None;
+    pub(crate) fn reached(&mut self, now_ms: u64) {
+        self.sight = (Sight::Reached, now_ms);
     }
 
     /// The log could not be read.
     pub(crate) fn failed(&mut self, now_ms: u64) {
-        self.failed_ms = Some(now_ms);
+        self.sight = (Sight::Away, now_ms);
     }
 
     /// A peer that was asked at `asked_ms` answered. Its freshness is good here too if it knows
@@ -108,17 +114,20 @@
         for (_, standing) in answers {
             self.peer(asked_ms, folded, standing);
         }
-        let is_known = |standing: &Standing| standing.log_away && standing.folded <= folded;
-        let all_agree = answers.iter().all(|(_, standing)| is_known(standing));
-        if all_agree && self.is_established && self.is_log_away(asked_ms) {
+        let is_contrary =
+            |standing: &Standing| standing.sight == Sight::Reached || standing.folded > folded;
+        let agree = !answers.iter().any(|(_, standing)| is_contrary(standing));
+        if agree && self.is_established && self.sight(asked_ms) == Sight::Away {
             self.count(asked_ms, answers);
         }
     }
 
+    /// Counts those that found the log away; who did not look has no vote.
     fn count(&mut self, asked_ms: u64, answers: &[(Arc<str>, Standing)]) {
-        let others = answers
-            .iter()
-            .filter(|(peer, _)| *peer != self.instance && self.electorate.contains(peer));
+        let others = answers.iter().filter(|(peer, standing)| {
+            let is_member = *peer != self.instance && self.electorate.contains(peer);
+            is_member && standing.sight == Sight::Away
+        });
         let agreeing = 1 + others.count();
         self.electorate.insert(self.instance.clone());
         if 2 * agreeing > self.electorate.len() {
@@ -154,7 +163,7 @@
         Standing {
             folded,
             fresh_for_ms: None,
-            log_away: true,
+            sight: Sight::Away,
             denied: Vec::new(),
         }
     }
@@ -197,11 +206,25 @@
         freshness.peers(2_000, 10, &answers(1..5, 11));
         assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
         let mut mixed = answers(1..5, 10);
-        mixed[0].1.log_away = false;
+        mixed[0].1.sight = Sight::Reached;
         freshness.peers(2_000, 10, &mixed);
         assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
     }
 
+    #[test]
+    fn who_did_not_look_has_no_vote() {
+        let mut freshness = cut_off();
+        let mut few = answers(1..5, 10);
+        for (_, standing) in &mut few[1..] {
+            standing.sight = Sight::Untried;
+        }
+        freshness.peers(2_000, 10, &few);
+        assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
+        few[1].1.sight = Sight::Away;
+        freshness.peers(2_000, 10, &few);
+        assert_eq!(freshness.fresh_until_ms(), 2_000 + FRESH_MS);
+    }
+
     #[test]
     fn members_that_left_do_not_count() {
         let mut freshness = cut_off();
--- a/flamingoscale/src/log/serve.rs
+++ b/flamingoscale/src/log/serve.rs
@@ -85,7 +85,7 @@
         Standing {
             folded: self.folded(),
             fresh_for_ms: self.freshness.fresh_for_ms(now_ms),
-            log_away: self.freshness.is_log_away(now_ms),
+            sight: self.freshness.sight(now_ms),
             denied: self.denials.keys(),
         }
     }
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Answers all pulls at once: there is something to tell other than records.
+    pub(crate) fn release_pulls(&mut self) {
+        for pull in std::mem::take(&mut self.pulls) {
+            self.answer_empty(&pull.reply);
+        }
+    }
+
     /// Answers the pulls that have waited long enough.
     pub(crate) fn expire_pulls(&mut self, now_ms: u64) {
         let (over, waiting) = std::mem::take(&mut self.pulls)
--- a/flamingoscale/src/platform/http.rs
+++ b/flamingoscale/src/platform/http.rs
@@ -54,8 +54,15 @@
     }, //
 };
 
-/// Longest wait for a whole answer, beyond what the call itself asks the platform to wait.
-const ANSWER_TIMEOUT_MS: u64 = 1_500;
+/// Longest wait for an answer.
+const ANSWER_TIMEOUT_MS: u64 = 3_000;
+
+/// Longest wait for an append; it's sent again then, which is harmless.
+const APPEND_TIMEOUT_MS: u64 = 2_000;
+
+/// Longest wait for a read, beyond what it asks the platform to wait. A slow platform must still
+/// get records through; whether it counts as away is decided sooner.
+const READ_TIMEOUT_MS: u64 = 6_000;
 
 /// Largest answer that is read.
 const ANSWER_LIMIT_BYTES: usize = 32 << 20;
@@ -89,15 +96,15 @@
         }
     }
 
-    async fn get(&self, path: &str, wait_ms: u64) -> Result<Answer> {
+    async fn get(&self, path: &str, timeout_ms: u64) -> Result<Answer> {
         let request = self.client.get(format!("{}{path}", self.base)).send();
-        self.answer(request, wait_ms + ANSWER_TIMEOUT_MS).await
+        self.answer(request, timeout_ms).await
     }
 
-    async fn post(&self, path: &str, body: &impl Serialize) -> Result<Answer> {
+    async fn post(&self, path: &str, body: &impl Serialize, timeout_ms: u64) -> Result<Answer> {
         let url = format!("{}{path}", self.base);
         let request = self.client.post(url).send_json(body);
-        self.answer(request, ANSWER_TIMEOUT_MS).await
+        self.answer(request, timeout_ms).await
     }
 
     /// Waits for a whole answer. A connection that went silent is dropped at the time limit, and
@@ -144,7 +151,7 @@
             let body = AppendRequest {
                 records: records.collect(),
             };
-            let answer = self.post("/log/append", &body).await?;
+            let answer = self.post("/log/append", &body, APPEND_TIMEOUT_MS).await?;
             let appended: AppendResponse = answer.read()?;
             Ok(appended.first_offset)
         })
@@ -153,7 +160,7 @@
     fn read(&self, from: u64, max: usize, wait_ms: u64) -> LocalBoxFuture<'_, Result<LogRead>> {
         Box::pin(async move {
             let path = format!("/log/read?from={from}&max={max}&wait_ms={wait_ms}");
-            let answer = self.get(&path, wait_ms).await?;
+            let answer = self.get(&path, wait_ms + READ_TIMEOUT_MS).await?;
             if answer.status == StatusCode::GONE {
                 let kept: ReadResponse = serde_json::from_slice(&answer.body)
                     .map_err(|error| unknown(error.to_string()))?;
@@ -173,18 +180,18 @@
 
 impl InstanceList for HttpPlatform {
     fn list(&self) -> LocalBoxFuture<'_, Result<Vec<ListedInstance>>> {
-        Box::pin(async move { self.get("/instances", 0).await?.read() })
+        Box::pin(async move { self.get("/instances", ANSWER_TIMEOUT_MS).await?.read() })
     }
 }
 
 impl EndpointOrders for HttpPlatform {
     fn endpoints(&self) -> LocalBoxFuture<'_, Result<Vec<PlatformEndpoint>>> {
-        Box::pin(async move { self.get("/endpoints", 0).await?.read() })
+        Box::pin(async move { self.get("/endpoints", ANSWER_TIMEOUT_MS).await?.read() })
     }
 
     fn order(&self, order: PlatformOrder) -> LocalBoxFuture<'_, Result<PlatformOrderDone>> {
         Box::pin(async move {
-            let answer = self.post("/orders", &order).await?;
+            let answer = self.post("/orders", &order, ANSWER_TIMEOUT_MS).await?;
             match answer.status {
                 StatusCode::CONFLICT => Err(PlatformError::Fenced {
                     fencing: order.fencing,
@@ -199,7 +206,7 @@
 impl UsageReports for HttpPlatform {
     fn report(&self, report: UsageReport) -> LocalBoxFuture<'_, Result<()>> {
         Box::pin(async move {
-            let answer = self.post("/usage", &report).await?;
+            let answer = self.post("/usage", &report, ANSWER_TIMEOUT_MS).await?;
             match answer.status {
                 StatusCode::CONFLICT => Err(PlatformError::Fenced {
                     fencing: report.fencing,
--- a/flamingoscale/src/state/snapshot.rs
+++ b/flamingoscale/src/state/snapshot.rs
@@ -52,14 +52,32 @@
     }
 }
 
-/// Cuts the state into chunks. Equal states give equal bytes.
+impl State {
+    /// The whole state as bytes. Equal states give equal bytes.
+    pub fn snapshot(&self) -> Bytes {
+        let mut bytes = vec![SNAPSHOT_ENCODING];
+        let config = bincode::config::standard();
+        // The state holds only types that encode; an empty snapshot would be refused on reading.
+        let body = bincode::serde::encode_to_vec(self, config).unwrap_or_default();
+        bytes.extend_from_slice(&body);
+        bytes.into()
+    }
+
+    /// Reads a snapshot back; none if it is damaged or of another encoding.
+    pub fn restore(bytes: &[u8]) -> Option<Self> {
+        let (&encoding, body) = bytes.split_first()?;
+        if encoding != SNAPSHOT_ENCODING {
+            return None;
+        }
+        let config = bincode::config::standard().with_limit::<SNAPSHOT_LIMIT_BYTES>();
+        let (state, used) = bincode::serde::decode_from_slice(body, config).ok()?;
+        (used == body.len()).then_some(state)
+    }
+}
+
+/// Cuts the state's snapshot into chunks.
 pub(crate) fn chunks(state: &State) -> Vec<Chunk> {
-    let mut bytes = vec![SNAPSHOT_ENCODING];
-    let config = bincode::config::standard();
-    // The state holds only types that encode; an empty snapshot would be refused on reading.
-    let body = bincode::serde::encode_to_vec(state, config).unwrap_or_default();
-    bytes.extend_from_slice(&body);
-    let bytes = Bytes::from(bytes);
+    let bytes = state.snapshot();
     let digest = xxh3_64(&bytes);
     let chunks = bytes.len().div_ceil(CHUNK_BYTES);
     let cut = |chunk: usize| {
@@ -76,16 +94,6 @@
     (0..chunks).map(cut).collect()
 }
 
-fn decode(bytes: &[u8]) -> Option<State> {
-    let (&encoding, body) = bytes.split_first()?;
-    if encoding != SNAPSHOT_ENCODING {
-        return None;
-    }
-    let config = bincode::config::standard().with_limit::<SNAPSHOT_LIMIT_BYTES>();
-    let (state, used) = bincode::serde::decode_from_slice(body, config).ok()?;
-    (used == body.len()).then_some(state)
-}
-
 #[derive(Debug, Default)]
 struct Partial {
     chunks: u32,
@@ -117,7 +125,7 @@
         if xxh3_64(&whole) != chunk.digest {
             return None;
         }
-        let state = decode(&whole).filter(|state| state.folded == chunk.upto);
+        let state = State::restore(&whole).filter(|state| state.folded == chunk.upto);
         self.has_unreadable |= state.is_none();
         state
     }
--- a/flamingoscale/tests/control.rs
+++ b/flamingoscale/tests/control.rs
@@ -78,7 +78,10 @@
     is_away: bool,
     /// Appends whose answer is lost after they took effect.
     lost_answers: u32,
-    append_calls: u32,
+    /// Added to every call.
+    delay_ms: u64,
+    /// Calls under way stay without an answer for ever; later ones work.
+    silenced: u64,
 }
 
 /// The platform in memory.
@@ -116,6 +119,35 @@
         })
     }
 
+    fn append_now(&self, records: Vec<Bytes>) -> PlatformResult<u64> {
+        let mut inner = self.lock();
+        if inner.is_away {
+            return Err(refused());
+        }
+        let first = inner.records.len() as u64;
+        inner.records.extend(records);
+        if inner.lost_answers > 0 {
+            inner.lost_answers -= 1;
+            let reason = "lost".into();
+            return Err(PlatformError::Unknown { reason });
+        }
+        Ok(first)
+    }
+
+    /// Waits out the delay, and for ever if the call went silent meanwhile.
+    async fn answer(&self) {
+        let (delay_ms, silenced) = {
+            let inner = self.lock();
+            (inner.delay_ms, inner.silenced)
+        };
+        if delay_ms > 0 {
+            actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        if self.lock().silenced != silenced {
+            std::future::pending::<()>().await;
+        }
+    }
+
     fn platform(self) -> Platform {
         let shared = Rc::new(self);
         Platform {
@@ -134,22 +166,12 @@
 
 impl Log for FakePlatform {
     fn append(&self, records: Vec<Bytes>) -> LocalBoxFuture<'_, PlatformResult<u64>> {
-        let mut inner = self.lock();
-        inner.append_calls += 1;
-        if inner.is_away {
-            return async { Err(refused()) }.boxed_local();
+        async move {
+            let result = self.append_now(records);
+            self.answer().await;
+            result
         }
-        let first = inner.records.len() as u64;
-        inner.records.extend(records);
-        let is_lost = inner.lost_answers > 0;
-        inner.lost_answers = inner.lost_answers.saturating_sub(1);
-        let reason = "lost".into();
-        let result = if is_lost {
-            Err(PlatformError::Unknown { reason })
-        } else {
-            Ok(first)
-        };
-        async { result }.boxed_local()
+        .boxed_local()
     }
 
     fn read(
@@ -160,7 +182,12 @@
     ) -> LocalBoxFuture<'_, PlatformResult<LogRead>> {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         async move {
+            self.answer().await;
+            let silenced = self.lock().silenced;
             loop {
+                if self.lock().silenced != silenced {
+                    std::future::pending::<()>().await;
+                }
                 let read = self.read_now(from, max)?;
                 if !read.records.is_empty() || Instant::now() >= until {
                     return Ok(read);
@@ -513,3 +540,31 @@
     assert_eq!(metrics.counted("log.newer_record"), 1);
     cluster.stop();
 }
+
+#[actix_rt::test]
+async fn changes_get_through_a_slow_log_and_all_stay_fresh() {
+    let cluster = Cluster::start(3).await;
+    cluster.grant(0).await;
+    cluster.all("fresh", Node::is_fresh).await;
+    cluster.platform.lock().delay_ms = 1_300;
+    let key_id = cluster.grant(1).await;
+    cluster
+        .all("granted", |node| node.is_in_force(&key_id))
+        .await;
+    cluster.all("fresh", Node::is_fresh).await;
+    cluster.stop();
+}
+
+#[actix_rt::test]
+async fn a_read_that_went_silent_holds_nobody_up() {
+    let cluster = Cluster::start(3).await;
+    cluster.grant(0).await;
+    cluster.all("fresh", Node::is_fresh).await;
+    cluster.platform.lock().silenced += 1;
+    let key_id = cluster.grant(1).await;
+    cluster
+        .all("granted", |node| node.is_in_force(&key_id))
+        .await;
+    cluster.all("fresh", Node::is_fresh).await;
+    cluster.stop();
+}
