--- a/standin/src/trainer.rs
+++ b/standin/src/trainer.rs
@@ -16,6 +16,7 @@
 };
 use flamingoscale::wire::{
     Batch,
+    Entries,
     OpenStep,
     PublishVersion,
     Sample, //
@@ -40,6 +41,9 @@
 /// Longest that one exchange takes.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(5);
 
+/// Longest that a question for addresses takes.
+const ENTRIES_LIMIT: Duration = Duration::from_secs(1);
+
 /// Pause before the same thing is sent again.
 const RETRY_PAUSE_MS: u64 = 100;
 
@@ -107,8 +111,17 @@
         let (trainer, version) = (&self.trainer, body.version);
         let url = format!("http://{store}/trainers/{trainer}/versions/{version}");
         let put = PutVersion { bytes: body.bytes };
-        let sent = self.client.put(url).send_json(&put).await;
-        sent.map_err(|error| error.to_string())?;
+        let started = Instant::now();
+        loop {
+            let sent = self.client.put(&url).send_json(&put).await;
+            if sent.is_ok_and(|response| response.status().is_success()) {
+                break;
+            }
+            if started.elapsed() > limit {
+                return Err(format!("{url}: the store did not take it in time"));
+            }
+            sleep_ms(RETRY_PAUSE_MS).await;
+        }
         self.post_until_taken("versions", &body, limit).await
     }
 
@@ -137,11 +150,34 @@
                 Ok(batch) => last = format!("{} of {} samples", batch.finished, batch.expected),
                 Err(error) => {
                     last = error;
+                    self.ask_entries().await;
                     sleep_ms(RETRY_PAUSE_MS).await;
                 }
             }
         }
-        Err(last)
+        Err(format!("step {step}: {last}"))
+    }
+
+    /// Learns which instances there are now, from any that answers.
+    async fn ask_entries(&mut self) {
+        for address in self.entries.clone() {
+            let url = format!("http://{address}/v1/entries");
+            let sent = self.client.get(url).timeout(ENTRIES_LIMIT).send().await;
+            let Ok(mut response) = sent else {
+                continue;
+            };
+            let Ok(found) = response.json::<Entries>().await else {
+                continue;
+            };
+            let found = found.entries.iter();
+            let found: Vec<SocketAddr> = found
+                .filter_map(|entry| entry.address.parse().ok())
+                .collect();
+            if !found.is_empty() {
+                self.entries = found;
+                return;
+            }
+        }
     }
 
     /// Tells the system that the batch is safe.
@@ -156,7 +192,8 @@
 
     async fn fetch_once(&self, url: &str) -> Result<Batch, String> {
         let request = self.with_key(self.client.get(url));
-        let mut response = request.send().await.map_err(|error| error.to_string())?;
+        let sent = request.send().await;
+        let mut response = sent.map_err(|error| format!("{url}: {error}"))?;
         if response.status() != StatusCode::OK {
             return Err(format!("{url}: status {}", response.status()));
         }
@@ -182,7 +219,10 @@
                     let text = String::from_utf8_lossy(&text);
                     last = format!("{url}: status {} {text}", response.status());
                 }
-                Err(error) => last = format!("{url}: {error}"),
+                Err(error) => {
+                    last = format!("{url}: {error}");
+                    self.ask_entries().await;
+                }
             }
             sleep_ms(RETRY_PAUSE_MS).await;
         }
