--- a/flamingoscale/src/gateway/http.rs
+++ b/flamingoscale/src/gateway/http.rs
@@ -90,7 +90,9 @@
 
 async fn get_entries(gateway: Data<Gateway>, query: web::Query<EntriesQuery>) -> HttpResponse {
     let view = gateway.instance.view.load();
-    let found = entries(&view, query.near.as_deref(), &mut rand::rng());
+    let instance = &gateway.instance;
+    let leaving = instance.is_draining().then(|| &**instance.id());
+    let found = entries(&view, query.near.as_deref(), leaving, &mut rand::rng());
     HttpResponse::Ok().json(found)
 }
 
@@ -256,18 +258,25 @@
         Answer::Broken(broken) => broken_off(gateway, service, request_id, &broken),
         Answer::Whole(whole) => {
             count(gateway, service, "ran");
-            let mut response = head(whole.status, &whole.headers, "ran", request_id);
+            let mut response = head(gateway, whole.status, &whole.headers, "ran", request_id);
             response.body(whole.body)
         }
         Answer::Stream(streamed) => {
             count(gateway, service, "ran");
-            let mut response = head(streamed.status, &streamed.headers, "ran", request_id);
+            let mut response = head(
+                gateway,
+                streamed.status,
+                &streamed.headers,
+                "ran",
+                request_id,
+            );
             response.streaming(StreamBody::start(gateway.instance.clone(), streamed))
         }
     }
 }
 
 fn head(
+    gateway: &Gateway,
     status: u16,
     headers: &[(Arc<str>, Arc<str>)],
     outcome: &str,
@@ -280,6 +289,10 @@
     }
     response.insert_header((OUTCOME_HEADER, outcome));
     response.insert_header((REQUEST_ID_HEADER, request_id));
+    if gateway.instance.is_draining() {
+        // The caller looks for another address instead of using this connection again.
+        response.force_close();
+    }
     response
 }
 
@@ -304,10 +317,9 @@
     let (status, kind, message) = describe(&not_run.refusal);
     let line = &gateway.instance.timeline;
     line.record("gateway.refused", request_id, &[("kind", &kind)]);
-    let mut response = head(status, &[], "not-run", request_id);
+    let mut response = head(gateway, status, &[], "not-run", request_id);
     if let Some(after_ms) = not_run.retry_after_ms {
-        let seconds = after_ms.div_ceil(1_000).max(1);
-        response.insert_header(("retry-after", seconds.to_string()));
+        response.insert_header(("retry-after", seconds(after_ms)));
     }
     response.json(error_body(kind, &message))
 }
@@ -319,12 +331,22 @@
         Cause::Deadline => (504, "deadline"),
         Cause::KeyWithdrawn => (401, "key_withdrawn"),
         Cause::Earlier => (409, "idempotency"),
+        Cause::NoVouching { .. } => (503, "idempotency"),
     };
     let reason = &broken.reason;
     let line = &gateway.instance.timeline;
     line.record("gateway.unknown", request_id, &[("reason", reason)]);
     let message = format!("{reason}: it may have run; repeat it only if that does no harm");
-    head(status, &[], "unknown", request_id).json(error_body(kind, &message))
+    let mut response = head(gateway, status, &[], "unknown", request_id);
+    if let Cause::NoVouching { retry_after_ms } = broken.cause {
+        response.insert_header(("retry-after", seconds(retry_after_ms)));
+    }
+    response.json(error_body(kind, &message))
+}
+
+/// Milliseconds as the whole seconds of a header.
+fn seconds(after_ms: u64) -> String {
+    after_ms.div_ceil(1_000).max(1).to_string()
 }
 
 pub(crate) fn error_body(kind: &str, message: &str) -> ErrorBody {
