Don't say "not run" after a try whose outcome is unknown

A repeatable request whose first answer was lost, and whose last try was refused or came to its deadline, ended as "not run" though it may have run. The delivery now remembers it and says "unknown".

--- a/flamingoscale/src/dispatch/delivery.rs
+++ b/flamingoscale/src/dispatch/delivery.rs
@@ -48,6 +48,8 @@
     dirty: bool,
     /// The present try ended by moving on.
     moving: bool,
+    /// Some try may have run, so that no later refusal makes the request one that did not run.
+    may_have_run: bool,
     text: String,
     tokens: u32,
 }
@@ -70,6 +72,7 @@
             committed: false,
             dirty: false,
             moving: false,
+            may_have_run: false,
             text: String::new(),
             tokens: 0,
         }
@@ -116,6 +119,7 @@
         self.base = Some(export);
         self.dirty = false;
         self.moving = true;
+        self.may_have_run = true;
         self.moves += 1;
         Ok(())
     }
@@ -144,7 +148,7 @@
     }
 
     /// Adds what earlier engines did to how the last try ended.
-    pub(crate) fn finish(&self, outcome: Outcome<Summary>) -> Outcome<Summary> {
+    pub(crate) fn finish(&mut self, outcome: Outcome<Summary>) -> Outcome<Summary> {
         match (outcome, &self.base) {
             (Outcome::Ran(mut summary), Some(base)) => {
                 let told = !base.versions.is_empty() && !summary.versions.is_empty();
@@ -158,12 +162,26 @@
                 summary.tokens += tokens_of(&base.versions);
                 Outcome::Ran(summary)
             }
-            (outcome, _) => outcome,
+            (outcome, _) => {
+                self.may_have_run |= matches!(outcome, Outcome::Unknown(_));
+                outcome
+            }
+        }
+    }
+
+    /// What may be said of all tries together.
+    fn truthful(&self, outcome: Outcome<Summary>) -> Outcome<Summary> {
+        match outcome {
+            Outcome::NotRun(_) if self.may_have_run => {
+                Outcome::Unknown("an earlier try may have run".into())
+            }
+            outcome => outcome,
         }
     }
 
     /// Gives the caller what was held of a good answer, and the outcome.
     pub(crate) async fn end(&mut self, outcome: Outcome<Summary>) {
+        let outcome = self.truthful(outcome);
         if matches!(outcome, Outcome::Ran(_)) && self.release().await.is_err() {
             return;
         }
@@ -220,6 +238,10 @@
             Class,
             WorkStream, //
         },
+        outcome::{
+            NotRun,
+            Refusal, //
+        },
         wire::CompletionRequest, //
     };
 
@@ -293,6 +315,22 @@
         });
     }
 
+    /// The first try's answer was lost after the effect, and the last was refused: saying "not
+    /// run" of the request would be false.
+    #[test]
+    fn a_refusal_after_an_unknown_try_does_not_say_not_run() {
+        block_on(async {
+            let (events, mut stream) = WorkStream::channel();
+            let mut delivery = Delivery::new(&work(false), events);
+            let _ = delivery.finish(Outcome::Unknown("lost".into()));
+            let late = NotRun::for_good(Refusal::Deadline);
+            let refused = delivery.finish(Outcome::NotRun(late));
+            delivery.end(refused).await;
+            let told = stream.next().await;
+            assert!(matches!(told, Some(WorkEvent::Done(Outcome::Unknown(_)))));
+        });
+    }
+
     #[test]
     fn a_stream_that_broke_is_not_tried_again() {
         block_on(async {
