--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,11 +5,15 @@
 
 mod fairness;
 mod gateway;
+mod lease;
 mod load;
+mod membership;
+mod orders;
 mod output;
 mod report;
 mod routing;
 mod timeline;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -35,6 +39,26 @@
 }
 
 const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "usage",
+        about: "counts lost and time to the bill, against counts without copies",
+        run: usage::run,
+    },
+    Experiment {
+        name: "orders",
+        about: "cost and backlog of the order policy against a fixed fleet and thresholds",
+        run: orders::run,
+    },
+    Experiment {
+        name: "membership",
+        about: "peer probes against heartbeats through the log",
+        run: membership::run,
+    },
+    Experiment {
+        name: "lease",
+        about: "takeover and time with two holders, against wall-clock timestamps",
+        run: lease::run,
+    },
     Experiment {
         name: "fairness",
         about:
