--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,12 +6,17 @@
 mod capacity;
 mod fairness;
 mod gateway;
+mod lease;
 mod load;
+mod membership;
+mod orders;
 mod output;
 mod process;
 mod report;
 mod routing;
+mod state;
 mod timeline;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -37,6 +42,26 @@
 }
 
 const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "usage",
+        about: "counts lost and time to the bill, against counts without copies",
+        run: usage::run,
+    },
+    Experiment {
+        name: "orders",
+        about: "cost and backlog of the order policy against a fixed fleet and thresholds",
+        run: orders::run,
+    },
+    Experiment {
+        name: "membership",
+        about: "peer probes against heartbeats through the log",
+        run: membership::run,
+    },
+    Experiment {
+        name: "lease",
+        about: "takeover and time with two holders, against wall-clock timestamps",
+        run: lease::run,
+    },
     Experiment {
         name: "fairness",
         about:
@@ -58,6 +83,11 @@
         about: "gathers docs/measurements/*.jsonl into a table and plots",
         run: report::run,
     },
+    Experiment {
+        name: state::NAME,
+        about: "fold, snapshots, time until a change is in force, racing changes",
+        run: state::run,
+    },
     Experiment {
         name: "routing",
         about: "cost of a choice as endpoints grow; cache hits against other policies",
