--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
+mod capacity;
 mod fairness;
 mod gateway;
 mod lease;
@@ -10,8 +11,10 @@
 mod membership;
 mod orders;
 mod output;
+mod process;
 mod report;
 mod routing;
+mod state;
 mod timeline;
 mod usage;
 
@@ -70,11 +73,21 @@
         about: "added latency and requests a second of one node, against a direct call",
         run: gateway::run,
     },
+    Experiment {
+        name: "capacity",
+        about: "what control costs a node against nodes, endpoints and changes",
+        run: capacity::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
         run: report::run,
     },
+    Experiment {
+        name: state::NAME,
+        about: "fold, snapshots, time until a change is in force, racing changes",
+        run: state::run,
+    },
     Experiment {
         name: "routing",
         about: "cost of a choice as endpoints grow; cache hits against other policies",
