--- a/standin/tests/rollout_fuzz.rs
+++ b/standin/tests/rollout_fuzz.rs
@@ -134,11 +134,9 @@
     }
 }
 
-/// A trainer that publishes a version after each step, asks at random instances, and now and
-/// then loses an answer and asks again.
+/// A trainer that asks at random instances, and now and then loses an answer and asks again.
 struct Trainer {
     name: &'static str,
-    publishes: bool,
     world: Rc<World>,
     random: ChaCha8Rng,
     /// Instances that died so far, to know when a batch may have been lost with its copy.
@@ -155,6 +153,8 @@
             let batch = self.fetch(&contents).await;
             self.check(&contents, &batch);
             if self.random.random_bool(0.5) {
+                let wait_ms = self.random.random_range(0..6_000);
+                sleep(Duration::from_millis(wait_ms)).await;
                 let again = self.fetch(&contents).await;
                 let lost_with_its_copy = self.deaths.get() > deaths + 1;
                 if again != batch && !lost_with_its_copy {
@@ -162,9 +162,15 @@
                 }
             }
             self.acknowledge(step).await;
-            if self.publishes {
-                self.publish(step + 1).await;
-            }
+        }
+    }
+
+    /// Publishes versions without regard to the steps.
+    async fn publish_often(mut self) {
+        for version in 2.. {
+            let wait_ms = self.random.random_range(500..6_000);
+            sleep(Duration::from_millis(wait_ms)).await;
+            self.publish(version).await;
         }
     }
 
@@ -378,23 +384,24 @@
     let world = Rc::new(World::new(INSTANCES, &trainers, Fleet::new(settings), seed));
     let problems = Rc::new(RefCell::new(Vec::new()));
     let deaths = Rc::new(Cell::new(0));
-    let training = (0..).zip(TRAINERS).map(|(number, name)| {
-        let trainer = Trainer {
-            name,
-            // Both draw from one service, whose weights one of them trains.
-            publishes: number == 0,
-            world: world.clone(),
-            random: ChaCha8Rng::seed_from_u64(seed ^ number),
-            deaths: deaths.clone(),
-            problems: problems.clone(),
-        };
-        actix_rt::spawn(trainer.train())
-    });
-    let training: Vec<_> = training.collect();
+    let trainer = |name, number: u64| Trainer {
+        name,
+        world: world.clone(),
+        random: ChaCha8Rng::seed_from_u64(seed ^ number),
+        deaths: deaths.clone(),
+        problems: problems.clone(),
+    };
+    let numbered = (0..).zip(TRAINERS);
+    let training: Vec<_> = numbered
+        .map(|(number, name)| actix_rt::spawn(trainer(name, number).train()))
+        .collect();
+    // Both draw from one service, whose weights one of them trains.
+    let publishing = actix_rt::spawn(trainer(TRAINERS[0], 7).publish_often());
     let mut fresh = 0;
     for event in events {
         happen(&world, event, &deaths, &mut fresh).await;
     }
+    publishing.abort();
     heal(&world);
     let following = actix_rt::spawn(follow_versions(world.clone()));
     for trained in training {
--- /dev/null
+++ b/standin/tests/rollout_takeover.rs
@@ -0,0 +1,185 @@
+//! Coordinators that die, leave or disagree in the middle of a step.
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::Duration, //
+};
+
+use actix_web::http::StatusCode;
+use flamingoscale::wire::{
+    Batch,
+    OpenStep, //
+};
+use standin::world::{
+    fleet::{
+        Fleet,
+        FleetSettings,
+        Lengths, //
+    },
+    World,
+    WorldTrainer, //
+};
+use tokio::time::sleep;
+
+const TRAINER: &str = "notes";
+const INSTANCES: usize = 4;
+
+fn world() -> World {
+    let settings = FleetSettings {
+        engines: 3,
+        slots: 4,
+        tokens_per_s: 50.0,
+        lengths: Lengths {
+            shortest: 50,
+            tail: 1.5,
+        },
+    };
+    let trainer = WorldTrainer {
+        name: TRAINER.into(),
+        weight: 1,
+        staleness_bound: 1,
+    };
+    World::new(INSTANCES, &[trainer], Fleet::new(settings), 1)
+}
+
+fn step() -> OpenStep {
+    OpenStep {
+        step: 1,
+        prompts: (0..8).map(|group| format!("log {group}").into()).collect(),
+        samples_per_group: 4,
+        max_tokens: 400,
+        staleness_bound: 1,
+        deadline_ms: 60_000,
+        scoring: None,
+    }
+}
+
+/// Runs `script` in a world of its own with one step open, once for each instance.
+fn with_each_instance<F>(script: impl Fn(World, Arc<str>) -> F) -> u32
+where
+    F: std::future::Future<Output = u64>,
+{
+    let takeovers = (0..INSTANCES).map(|number| {
+        let system = actix_rt::System::with_tokio_rt(|| {
+            tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .start_paused(true)
+                .build()
+                .expect("a runtime can be built")
+        });
+        system.block_on(async {
+            let world = world();
+            let victim = world.instances()[number].clone();
+            assert_eq!(world.open("n0", TRAINER, &step()).await, StatusCode::OK);
+            script(world, victim).await
+        })
+    });
+    takeovers.map(|count| count as u32).sum()
+}
+
+fn survivor(world: &World, victim: &str) -> Arc<str> {
+    let live = world.instances().into_iter();
+    let mut others = live.filter(|name| **name != *victim);
+    others.next().expect("more than one instance lives")
+}
+
+async fn whole(world: &World, at: &str) -> Batch {
+    loop {
+        match world.fetch(at, TRAINER, 1, 1_000).await {
+            Ok(batch) if batch.complete => return batch,
+            _ => sleep(Duration::from_millis(100)).await,
+        }
+    }
+}
+
+fn assert_whole(batch: &Batch) {
+    let ids: BTreeSet<_> = batch.samples.iter().map(|s| (s.group, s.index)).collect();
+    assert_eq!((ids.len(), batch.samples.len()), (32, 32));
+}
+
+#[test]
+fn a_dead_coordinators_samples_are_not_drawn_again() {
+    let takeovers = with_each_instance(|world, victim| async move {
+        sleep(Duration::from_millis(6_000)).await;
+        let generated = world.fleet.runs().len();
+        assert!(generated > 4);
+        world.crash(&victim);
+        world.detect();
+        let at = survivor(&world, &victim);
+        assert_whole(&whole(&world, &at).await);
+        let runs = world.fleet.runs();
+        let ids: BTreeSet<_> = runs.iter().map(|run| (&run.prompt, run.seed)).collect();
+        // Copies travel within milliseconds; at most the samples of one message are lost.
+        assert!(runs.len() <= ids.len() + 2);
+        world.counted("step.take_over")
+    });
+    assert_eq!(takeovers, 1);
+}
+
+#[test]
+fn a_trainer_that_asks_again_gets_the_same_batch() {
+    let takeovers = with_each_instance(|world, victim| async move {
+        let first = whole(&world, "n1").await;
+        assert_whole(&first);
+        // By now the samples are older than the bound; the batch closed before that.
+        for version in 2..6 {
+            let published = world.publish("n1", TRAINER, version).await;
+            assert_eq!(published, StatusCode::OK);
+        }
+        world.fold();
+        world.crash(&victim);
+        world.detect();
+        let again = whole(&world, &survivor(&world, &victim)).await;
+        assert_eq!(again, first);
+        world.counted("step.take_over")
+    });
+    assert_eq!(takeovers, 1);
+}
+
+#[test]
+fn a_lost_copy_holder_is_replaced() {
+    with_each_instance(|world, victim| async move {
+        let first = whole(&world, "n1").await;
+        world.crash(&victim);
+        world.detect();
+        sleep(Duration::from_millis(3_000)).await;
+        // Whoever holds it by now, the next death takes no batch with it either.
+        let second = survivor(&world, &victim);
+        world.crash(&second);
+        world.detect();
+        let again = whole(&world, &survivor(&world, &second)).await;
+        assert_eq!(again, first);
+        0
+    });
+}
+
+#[test]
+fn a_leaving_coordinator_hands_its_samples_over() {
+    let takeovers = with_each_instance(|world, victim| async move {
+        sleep(Duration::from_millis(6_000)).await;
+        let before = world.fetch("n1", TRAINER, 1, 0).await.expect("the step is open");
+        world.leave(&victim);
+        let after = world.fetch("n1", TRAINER, 1, 0).await.expect("the step is open");
+        assert!(after.finished + 1 >= before.finished);
+        assert_whole(&whole(&world, "n1").await);
+        world.counted("step.take_over")
+    });
+    assert_eq!(takeovers, 1);
+}
+
+#[test]
+fn an_acknowledged_step_is_forgotten_everywhere() {
+    with_each_instance(|world, victim| async move {
+        whole(&world, "n2").await;
+        let done = world.acknowledge("n3", TRAINER, 1).await;
+        assert_eq!(done, StatusCode::OK);
+        sleep(Duration::from_millis(500)).await;
+        world.crash(&victim);
+        world.detect();
+        let at = survivor(&world, &victim);
+        let fetched = world.fetch(&at, TRAINER, 1, 0).await;
+        assert_eq!(fetched, Err(StatusCode::NOT_FOUND));
+        0
+    });
+}
