Fuzz traffic and rollouts, and keep copies until their successor is sealed

Two machines beside the one for control state: homes, queues, retries and idempotency keys; steps, copies and takeovers.

The holder now keeps what was held before until the new coordinator has sealed, and a sealed batch goes before unsealed copies.

--- a/flamingoscale/src/fuzz.rs
+++ b/flamingoscale/src/fuzz.rs
@@ -25,6 +25,8 @@
 
 mod control;
 mod oracle;
+mod rollout;
+mod traffic;
 
 use self::oracle::{
     Plant,
@@ -42,7 +44,7 @@
 const LONGEST_CASE: usize = 160;
 
 /// Seeds in which a planted fault has to be found.
-const PLANTED_SEEDS: u64 = 400;
+const PLANTED_SEEDS: u64 = 5_000;
 
 fn number(variable: &str, default: u64) -> u64 {
     let text = std::env::var(variable).ok();
@@ -131,3 +133,27 @@
         finds::<control::ControlTest>(plant, promise);
     }
 }
+
+#[test]
+fn fuzz_traffic() {
+    run::<traffic::TrafficTest>("fuzz_traffic");
+}
+
+#[test]
+fn fuzz_finds_planted_faults_of_traffic() {
+    for (plant, promise) in traffic::PLANTS {
+        finds::<traffic::TrafficTest>(plant, promise);
+    }
+}
+
+#[test]
+fn fuzz_rollout() {
+    run::<rollout::RolloutTest>("fuzz_rollout");
+}
+
+#[test]
+fn fuzz_finds_planted_faults_of_rollout() {
+    for (plant, promise) in rollout::PLANTS {
+        finds::<rollout::RolloutTest>(plant, promise);
+    }
+}
--- a/flamingoscale/src/fuzz/oracle.rs
+++ b/flamingoscale/src/fuzz/oracle.rs
@@ -5,6 +5,26 @@
 /// What must always hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Promise {
+    /// Every sample names the weight versions that truly produced it.
+    VersionsTrue,
+    /// No sample is older than its trainer's bound.
+    Fresh,
+    /// Every sample reaches its batch exactly once.
+    ExactlyOnce,
+    /// A request runs only for the organisation whose key came with it.
+    RightOrganisation,
+    /// No endpoint sees a caller's key.
+    KeyHidden,
+    /// Every caller gets the whole answer to its own request.
+    WholeAnswer,
+    /// A refusal saying "not run" is true.
+    NotRunTrue,
+    /// A request that may not be repeated runs at most once.
+    AtMostOnce,
+    /// A leaving endpoint gets no new work.
+    LeavingDrains,
+    /// A graceful shutdown cuts no request.
+    ShutdownCutsNone,
     /// The platform never gets orders from two processes that both believe they are in charge.
     OneOrders,
     /// No window is reported twice with different figures, nor by two that believe they may.
@@ -28,6 +48,28 @@
     StartsAtHead,
     /// The fold of one instance lets a withdrawn key be granted again.
     RegrantsKey,
+    /// A lost answer is taken for a refusal.
+    UnknownIsNotRun,
+    /// What may not run twice is tried again like everything else.
+    AllMayRunTwice,
+    /// An endpoint's status does not say that it leaves.
+    LeavingIsHidden,
+    /// A home drops the running requests of an endpoint that moves away.
+    MoveCutsRunning,
+    /// The answer that is kept for one idempotency key is another's.
+    CrossedAnswers,
+    /// Headers go to the endpoint as they came.
+    KeyIsForwarded,
+    /// A key is found by its id alone.
+    KeyByIdAlone,
+    /// The version is read once, before the generation.
+    ReadsVersionOnce,
+    /// The coordinator does not hear of new versions.
+    OldNewestVersion,
+    /// The holder of copies says "taken" and keeps nothing.
+    CopyIsMadeUp,
+    /// The holder of copies does not keep the seal.
+    SealIsForgotten,
 }
 
 /// What a case runs with.
--- a/flamingoscale/src/gateway.rs
+++ b/flamingoscale/src/gateway.rs
@@ -11,7 +11,7 @@
 mod entries;
 mod http;
 pub mod idempotency;
-mod key;
+pub(crate) mod key;
 pub(crate) mod limit;
 pub(crate) mod quarantine;
 mod route;
--- a/flamingoscale/src/gateway/key.rs
+++ b/flamingoscale/src/gateway/key.rs
@@ -81,7 +81,7 @@
 }
 
 /// Drops headers that repeat the key, and refuses a request that has it in its path or body.
-fn remove_key(body: &mut WorkBody, shown: &str) -> Result<(), NotRun> {
+pub(crate) fn remove_key(body: &mut WorkBody, shown: &str) -> Result<(), NotRun> {
     let repeated = match body {
         WorkBody::Completion(request) => request.prompt.contains(shown),
         WorkBody::Plain {
--- a/flamingoscale/src/rollout.rs
+++ b/flamingoscale/src/rollout.rs
@@ -23,10 +23,10 @@
 };
 
 mod answer;
-mod arena;
+pub(crate) mod arena;
 mod coordinator;
-mod copies;
-mod core;
+pub(crate) mod copies;
+pub(crate) mod core;
 mod draw;
 mod driver;
 mod facts;
@@ -35,8 +35,8 @@
 mod recovery;
 mod routes;
 mod scoring;
-mod step;
-mod window;
+pub(crate) mod step;
+pub(crate) mod window;
 
 pub use coordinator::Coordinator;
 pub use routes::configure;
--- a/flamingoscale/src/rollout/copies.rs
+++ b/flamingoscale/src/rollout/copies.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     rollout::{
+        recovery::merge,
         step::samples_of,
         Copied,
         Epoch,
@@ -32,6 +33,9 @@
     pub(crate) coordinator: Arc<str>,
     pub(crate) samples: BTreeMap<u32, Copied>,
     pub(crate) sealed: Option<u64>,
+    /// What the coordinators before held, until the present one has sealed its batch: it may die
+    /// before it has sent again what it recovered from here.
+    before: Option<Box<HeldStep>>,
     touched_ms: u64,
 }
 
@@ -63,15 +67,13 @@
         if !known.yields_to(from, epoch) {
             return Reply::Superseded;
         }
-        // A new coordinator recovered what was here; it sends again what it goes on with.
-        let freed = known.bytes();
-        known.samples.clear();
-        known.sealed = None;
-        known.step = step;
-        known.epoch = epoch;
-        known.coordinator = from.clone();
-        known.touched_ms = now_ms;
-        self.bytes -= freed;
+        let mut fresh = HeldStep::new(step, epoch, from.clone(), None);
+        fresh.touched_ms = now_ms;
+        let before = std::mem::replace(known, fresh);
+        let held_bytes = before.bytes();
+        let before = before.merged();
+        self.bytes = self.bytes + before.bytes() - held_bytes;
+        known.before = Some(Box::new(before));
         Reply::Taken
     }
 
@@ -137,6 +139,9 @@
             return Reply::Missing(missing);
         }
         known.sealed = Some(newest_version);
+        if let Some(before) = known.before.take() {
+            self.bytes -= before.bytes();
+        }
         Reply::Taken
     }
 
@@ -148,8 +153,9 @@
     }
 
     /// What is held of a step.
-    pub(crate) fn get(&self, trainer: &Arc<str>, step: u64) -> Option<&HeldStep> {
-        self.held.get(&(trainer.clone(), step))
+    pub(crate) fn get(&self, trainer: &Arc<str>, step: u64) -> Option<HeldStep> {
+        let held = self.held.get(&(trainer.clone(), step))?;
+        Some(held.clone().merged())
     }
 
     fn expire(&mut self, now_ms: u64) {
@@ -179,6 +185,7 @@
             coordinator,
             samples: BTreeMap::new(),
             sealed,
+            before: None,
             touched_ms: 0,
         }
     }
@@ -189,7 +196,20 @@
     }
 
     fn bytes(&self) -> u64 {
-        self.samples.values().map(bytes_of).sum()
+        let own: u64 = self.samples.values().map(bytes_of).sum();
+        own + self.before.as_ref().map_or(0, |before| before.bytes())
+    }
+
+    /// This and what was held before it, as one.
+    fn merged(mut self) -> Self {
+        let Some(before) = self.before.take() else {
+            return self;
+        };
+        let touched_ms = self.touched_ms;
+        let both = vec![before.merged(), self];
+        let mut merged = merge(both).expect("there are two");
+        merged.touched_ms = touched_ms;
+        merged
     }
 }
 
--- a/flamingoscale/src/rollout/driver.rs
+++ b/flamingoscale/src/rollout/driver.rs
@@ -422,7 +422,7 @@
             })
         });
         let Some((given_up, copies)) = given_up else {
-            let held = self.shared.copies().get(trainer, step).cloned();
+            let held = self.shared.copies().get(trainer, step);
             return match held {
                 Some(held) => Answer::Held(Box::new(held)),
                 None => Answer::Reply(Reply::NotOpen),
--- a/flamingoscale/src/rollout/recovery.rs
+++ b/flamingoscale/src/rollout/recovery.rs
@@ -42,7 +42,7 @@
         ask(driver.instance(), member, message, ANSWER_MS)
     });
     let answers = join_all(answers).await;
-    let own = driver.shared().copies().get(trainer, step).cloned();
+    let own = driver.shared().copies().get(trainer, step);
     let found = answers.into_iter().filter_map(|answer| match answer {
         Answer::Held(held) => Some(*held),
         _ => None,
@@ -70,9 +70,11 @@
     others.take(ASKED).cloned().collect()
 }
 
-/// The newest coordinator's copies, and where it has none, those of the one before.
-fn merge(mut found: Vec<HeldStep>) -> Option<HeldStep> {
-    found.sort_by_key(|held| (held.epoch, held.sealed.is_some(), held.samples.len()));
+/// The newest coordinator's copies, and where it has none, those of the one before. A sealed batch
+/// goes before unsealed copies of any coordinator: its trainer may have it already.
+pub(crate) fn merge(mut found: Vec<HeldStep>) -> Option<HeldStep> {
+    let epoch = found.iter().map(|held| held.epoch).max()?;
+    found.sort_by_key(|held| (held.sealed.is_some(), held.epoch, held.samples.len()));
     let mut newest = found.pop()?;
     for older in found.into_iter().rev() {
         if older.step != newest.step || newest.sealed.is_some() {
@@ -82,6 +84,7 @@
             newest.samples.entry(position).or_insert(copied);
         }
     }
+    newest.epoch = epoch;
     Some(newest)
 }
 
@@ -140,6 +143,17 @@
         assert_eq!(texts, ["new", "kept"]);
     }
 
+    #[test]
+    fn a_sealed_batch_goes_before_what_a_later_coordinator_began() {
+        let merged = merge(vec![
+            held(2, None, &[(0, "begun")]),
+            held(1, Some(5), &[(0, "sealed"), (1, "sealed")]),
+        ]);
+        let merged = merged.expect("something was held");
+        assert_eq!((merged.epoch, merged.sealed), (2, Some(5)));
+        assert_eq!(merged.samples[&0].sample.text, "sealed");
+    }
+
     #[test]
     fn a_sealed_batch_stays_as_it_was() {
         let merged = merge(vec![
