--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod output;
 mod report;
 mod routing;
+mod state;
 mod timeline;
 mod usage;
 
@@ -75,6 +76,11 @@
         about: "gathers docs/measurements/*.jsonl into a table and plots",
         run: report::run,
     },
+    Experiment {
+        name: state::NAME,
+        about: "fold, snapshots, time until a change is in force, racing changes",
+        run: state::run,
+    },
     Experiment {
         name: "routing",
         about: "cost of a choice as endpoints grow; cache hits against other policies",
