--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -11,6 +11,7 @@
 mod membership;
 mod orders;
 mod output;
+mod peers;
 mod process;
 mod report;
 mod routing;
@@ -78,6 +79,11 @@
         about: "what control costs a node against nodes, endpoints and changes",
         run: capacity::run,
     },
+    Experiment {
+        name: "peers",
+        about: "a call to a peer over h2 and bincode, against HTTP/1.1 and JSON",
+        run: peers::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
--- /dev/null
+++ b/bench/src/peers.rs
@@ -0,0 +1,193 @@
+//! A call to a peer over `h2` and `bincode` against the same call over HTTP/1.1 and JSON.
+
+use std::{
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use actix_web::{
+    web::{
+        self,
+        Json, //
+    },
+    App,
+    HttpResponse,
+    HttpServer, //
+};
+use flamingoscale::{
+    clock::BootClock,
+    instance::Instance,
+    peer::{
+        self,
+        PeerHandler,
+        PeerPool,
+        PeerReply,
+        PeerRequest,
+        PeerRouter,
+        Peers,
+        ReplySender, //
+    },
+    settings::SettingsBuilder,
+    usage,
+    wire::UsageFigures, //
+};
+use futures::future::join_all;
+use serde_json::{
+    json,
+    Value, //
+};
+
+use crate::output;
+
+/// Calls at once.
+const AT_ONCE: [usize; 2] = [1, 64];
+
+/// Calls of one run.
+const CALLS: usize = 20_000;
+
+/// Calls before anything is measured.
+const WARM_UP: usize = 500;
+
+/// Answers each request at once.
+struct Answering;
+
+impl PeerHandler for Answering {
+    fn handle(&self, _from: Arc<str>, _request: PeerRequest, reply: ReplySender) {
+        let _ = reply.try_send(PeerReply::Usage(usage::Reply::Held));
+    }
+}
+
+/// A message as copies of usage have it.
+fn message() -> usage::Message {
+    let figures = (0..8).map(|number| {
+        let counted = UsageFigures {
+            requests: 100 + number,
+            tokens: 50_000 + number,
+        };
+        (Arc::from(format!("organisation-{number}")), counted)
+    });
+    usage::Message::Hold {
+        incarnation: 0x1234_5678_9abc_def0,
+        sequence: 77,
+        figures: figures.collect(),
+    }
+}
+
+fn instance(name: &str) -> Arc<Instance> {
+    let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = SettingsBuilder::new(name, "saiq", nowhere, nowhere).build();
+    Arc::new(Instance::new(settings, 1, Arc::new(BootClock)))
+}
+
+fn listen() -> std::io::Result<(TcpListener, String)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?.to_string();
+    Ok((listener, address))
+}
+
+/// One call; false if it failed.
+type Call = Rc<dyn Fn() -> futures::future::LocalBoxFuture<'static, bool>>;
+
+/// Makes calls, `at_once` at a time, and returns the sorted times of the good ones.
+async fn calls(call: &Call, at_once: usize, count: usize) -> Vec<Duration> {
+    let workers = (0..at_once).map(|_| async {
+        let mut times = Vec::with_capacity(count / at_once);
+        for _ in 0..count / at_once {
+            let start = Instant::now();
+            if call().await {
+                times.push(start.elapsed());
+            }
+        }
+        times
+    });
+    let mut times = join_all(workers).await.concat();
+    times.sort_unstable();
+    times
+}
+
+async fn measure(call: Call, at_once: usize) -> Value {
+    calls(&call, at_once, WARM_UP).await;
+    let start = Instant::now();
+    let times = calls(&call, at_once, CALLS).await;
+    let per_s = times.len() as f64 / start.elapsed().as_secs_f64();
+    let at = |percent: usize| {
+        let index = times.len().saturating_sub(1) * percent / 100;
+        times.get(index).map_or(0, |time| time.as_micros() as u64)
+    };
+    json!({
+        "at_once": at_once,
+        "calls": times.len(),
+        "failed": CALLS / at_once * at_once - times.len(),
+        "p50_us": at(50),
+        "p99_us": at(99),
+        "calls_per_s": per_s.round(),
+    })
+}
+
+fn peer_call() -> std::io::Result<Call> {
+    let (listener, address) = listen()?;
+    let router = PeerRouter::default().usage(Arc::new(Answering));
+    actix_rt::Arbiter::new().spawn(async move {
+        let _ = peer::serve(instance("b"), listener, router).await;
+    });
+    let client = instance("a");
+    let pool = PeerPool::new(client.clone());
+    let (peer, address): (Arc<str>, Arc<str>) = ("b".into(), address.into());
+    Ok(Rc::new(move || {
+        let (pool, peer, _client) = (pool.clone(), peer.clone(), client.clone());
+        let stream = pool.open(&peer, &address, PeerRequest::Usage(message()));
+        Box::pin(async move { stream.single(&peer).await.is_ok() })
+    }))
+}
+
+async fn answer(_message: Json<usage::Message>) -> HttpResponse {
+    HttpResponse::Ok().json(usage::Reply::Held)
+}
+
+fn http_call() -> std::io::Result<Call> {
+    let (listener, address) = listen()?;
+    let server = HttpServer::new(|| App::new().route("/usage", web::post().to(answer)));
+    let server = server.workers(1).listen(listener)?.run();
+    actix_rt::Arbiter::new().spawn(async move {
+        let _ = server.await;
+    });
+    let client = Rc::new(awc::Client::default());
+    let url = format!("http://{address}/usage");
+    Ok(Rc::new(move || {
+        let (client, url) = (client.clone(), url.clone());
+        Box::pin(async move {
+            let Ok(mut response) = client.post(url).send_json(&message()).await else {
+                return false;
+            };
+            response.json::<usage::Reply>().await.is_ok()
+        })
+    }))
+}
+
+async fn compare(seed: u64) -> std::io::Result<()> {
+    let (peer, http) = (peer_call()?, http_call()?);
+    let (mut own, mut baseline) = (Value::Null, Value::Null);
+    for at_once in AT_ONCE {
+        output::progress("peers", &format!("{at_once} at once"));
+        own = measure(peer.clone(), at_once).await;
+        output::line("peers", seed, json!({ "h2_bincode": own }));
+        baseline = measure(http.clone(), at_once).await;
+        output::line("peers", seed, json!({ "http1_json": baseline }));
+    }
+    output::summary("peers", seed, own, baseline);
+    Ok(())
+}
+
+pub(crate) fn run(seed: u64) {
+    if let Err(error) = actix_rt::System::new().block_on(compare(seed)) {
+        output::progress(
+            "peers",
+            &format!("failed ({error}): free some loopback ports"),
+        );
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/membership/core/probing.rs
@@ -0,0 +1,190 @@
+//! Whom to probe and when, and what a probe without an answer leads to.
+
+use rand::seq::{
+    IndexedRandom as _,
+    SliceRandom as _, //
+};
+
+use super::*;
+
+/// Hints that are probed in one period.
+const HINTS_PER_PERIOD: usize = 4;
+
+/// Periods between probes of a member that counts as dead, so that a healed partition is seen.
+const DEAD_PROBE_PERIODS: u64 = 5;
+
+/// Periods between full exchanges with one member.
+const EXCHANGE_PERIODS: u64 = 300;
+
+/// A newcomer exchanges in these periods too, since others may have come at the same time.
+const FIRST_EXCHANGES: [u64; 4] = [3, 10, 30, 100];
+
+impl Membership {
+    pub(super) fn start_probe(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let Some(member) = self.next_target() else {
+            return;
+        };
+        let message = self.probe_message(&member.instance);
+        let action = self.send(&member, message);
+        self.probe = Some(Probe {
+            id: ProbeId(self.next_probe),
+            target: member.instance.clone(),
+            incarnation: member.incarnation,
+            indirect_at_ms: now_ms + self.timing.direct_ms,
+            ends_at_ms: now_ms + self.timing.period_ms,
+            indirect_sent: false,
+        });
+        actions.push(action);
+    }
+
+    /// Members come in shuffled rounds, so each is probed within two rounds at most.
+    pub(super) fn next_target(&mut self) -> Option<Member> {
+        for _ in 0..2 {
+            while let Some(instance) = self.order.pop() {
+                match self.peers.get(&instance) {
+                    Some(peer) if peer.health != Health::Dead => return Some(peer.member.clone()),
+                    _ => {}
+                }
+            }
+            let live = self.peers.iter();
+            let live = live.filter(|(_, peer)| peer.health != Health::Dead);
+            self.order = live.map(|(instance, _)| instance.clone()).collect();
+            self.order.shuffle(&mut self.rng);
+        }
+        None
+    }
+
+    pub(super) fn indirect(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let Some(probe) = &mut self.probe else {
+            return;
+        };
+        if probe.indirect_sent || now_ms < probe.indirect_at_ms || now_ms >= probe.ends_at_ms {
+            return;
+        }
+        probe.indirect_sent = true;
+        let Some(target) = self.peers.get(&probe.target) else {
+            return;
+        };
+        let target = target.member.clone();
+        let others: Vec<Member> = self
+            .peers
+            .values()
+            .filter(|peer| peer.health == Health::Alive && peer.member.instance != target.instance)
+            .map(|peer| peer.member.clone())
+            .collect();
+        let chosen: Vec<Member> = others
+            .sample(&mut self.rng, self.timing.indirect)
+            .cloned()
+            .collect();
+        for helper in chosen {
+            let message = Message::ProbeFor {
+                target: target.clone(),
+            };
+            let action = self.send(&helper, message);
+            actions.push(action);
+        }
+    }
+
+    /// A probe that is still open when its period ends has failed.
+    pub(super) fn end_probe(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let Some(peer) = self.peers.get(&probe.target) else {
+            return;
+        };
+        if peer.member.incarnation != probe.incarnation {
+            return;
+        }
+        let suspicion = Update {
+            health: peer.health.max(Health::Suspect),
+            ..peer.update()
+        };
+        self.apply(now_ms, suspicion, actions);
+        self.start_suspicion(now_ms, &probe.target);
+    }
+
+    /// A leaving member has no suspicion of its own to spread, but its time runs all the same.
+    pub(super) fn start_suspicion(&mut self, now_ms: u64, instance: &Arc<str>) {
+        let wait_ms = self.suspicion_ms();
+        if let Some(peer) = self.peers.get_mut(instance) {
+            if peer.health != Health::Dead && peer.dead_at_ms.is_none() {
+                peer.dead_at_ms = Some(now_ms + wait_ms);
+            }
+        }
+    }
+
+    pub(super) fn suspicion_ms(&self) -> u64 {
+        let members = self.peers.len() as u64 + 1;
+        let digits = u64::from(members.ilog10()) + 1;
+        self.timing.suspicion_periods * digits * self.timing.period_ms
+    }
+
+    pub(super) fn expire(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let due = |peer: &&Peer| peer.dead_at_ms.is_some_and(|dead_at| now_ms >= dead_at);
+        let dead: Vec<Update> = self
+            .peers
+            .values()
+            .filter(due)
+            .map(|peer| Update {
+                health: Health::Dead,
+                ..peer.update()
+            })
+            .collect();
+        for update in dead {
+            self.apply(now_ms, update, actions);
+        }
+        let forget_ms = self.timing.forget_ms;
+        self.peers
+            .retain(|_, peer| peer.health != Health::Dead || now_ms < peer.since_ms + forget_ms);
+    }
+
+    pub(super) fn probe_hints(&mut self, actions: &mut Vec<Action>) {
+        for _ in 0..HINTS_PER_PERIOD {
+            let Some(hint) = self.hints.pop_front() else {
+                return;
+            };
+            let message = self.exchange_message();
+            actions.push(Action::Send {
+                probe: self.new_probe(),
+                instance: hint.instance,
+                peer_address: hint.peer_address,
+                message,
+            });
+        }
+    }
+
+    /// A dead member that answers tells that a partition has healed.
+    pub(super) fn probe_dead(&mut self, actions: &mut Vec<Action>) {
+        if self.period % DEAD_PROBE_PERIODS != 0 {
+            return;
+        }
+        let dead = self.peers.values();
+        let dead: Vec<Member> = dead
+            .filter(|peer| peer.health == Health::Dead)
+            .map(|peer| peer.member.clone())
+            .collect();
+        if let Some(member) = dead.choose(&mut self.rng).cloned() {
+            let message = self.exchange_message();
+            let action = self.send(&member, message);
+            actions.push(action);
+        }
+    }
+
+    pub(super) fn exchange_sometimes(&mut self, actions: &mut Vec<Action>) {
+        let regular = self.period % EXCHANGE_PERIODS == 0;
+        if !regular && !FIRST_EXCHANGES.contains(&self.period) {
+            return;
+        }
+        let live = self.peers.values();
+        let live: Vec<Member> = live
+            .filter(|peer| peer.health == Health::Alive)
+            .map(|peer| peer.member.clone())
+            .collect();
+        if let Some(member) = live.choose(&mut self.rng).cloned() {
+            let message = self.exchange_message();
+            let action = self.send(&member, message);
+            actions.push(action);
+        }
+    }
+}
