--- a/flamingoscale/src/controller/usage.rs
+++ b/flamingoscale/src/controller/usage.rs
@@ -42,7 +42,10 @@
     Controller, //
 };
 use crate::{
-    instance::Instance,
+    instance::{
+        Instance,
+        WorkGuard, //
+    },
     peer::{
         PeerHandler,
         PeerReply,
@@ -113,6 +116,8 @@
             windows: RefCell::default(),
             counting: Cell::new(false),
             reporting: Cell::new(false),
+            drain_guard: RefCell::default(),
+            flushed: Cell::new(false),
             context,
         };
         let incoming = self.incoming;
@@ -202,16 +207,39 @@
     windows: RefCell<Windows>,
     counting: Cell<bool>,
     reporting: Cell<bool>,
+    drain_guard: RefCell<Option<WorkGuard>>,
+    flushed: Cell<bool>,
     context: ControlContext,
 }
 
 impl Keeper {
     /// Brings this instance's counts, and those of the dead, into the log.
     async fn count(&self) {
+        self.hold_drain();
         self.take();
         self.copy().await;
         self.append().await;
         self.append_for_the_dead().await;
+        self.release_drain();
+    }
+
+    /// A leaving instance stays until the log holds what it counted.
+    fn hold_drain(&self) {
+        let instance = &self.context.instance;
+        if instance.is_draining() && !self.flushed.get() {
+            let mut guard = self.drain_guard.borrow_mut();
+            guard.get_or_insert_with(|| instance.begin_work());
+        }
+    }
+
+    fn release_drain(&self) {
+        let instance = &self.context.instance;
+        // The guard itself is one piece of work.
+        let through = instance.is_draining() && instance.in_flight() <= 1;
+        if through && instance.usage.is_empty() && self.counts.borrow().waiting() == 0 {
+            self.flushed.set(true);
+            self.drain_guard.borrow_mut().take();
+        }
     }
 
     fn take(&self) {
--- a/flamingoscale/src/usage.rs
+++ b/flamingoscale/src/usage.rs
@@ -68,6 +68,11 @@
         std::mem::take(&mut self.lock())
     }
 
+    /// Whether nothing was counted since the last [`UsageCounter::take`].
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Figures> {
         self.figures
             .lock()
