--- a/flamingoctl/src/entries.rs
+++ b/flamingoctl/src/entries.rs
@@ -4,7 +4,8 @@
 
 use crate::{
     client::Client,
-    error::Result, //
+    error::Result,
+    output, //
 };
 
 pub(crate) async fn run(client: &Client, near: Option<String>, json: bool) -> Result<()> {
@@ -14,13 +15,16 @@
     };
     let entries: Entries = client.get(&path).await?;
     if json {
-        println!("{}", serde_json::json!(entries));
+        output::line(format_args!("{}", serde_json::json!(entries)));
         return Ok(());
     }
     for entry in &entries.entries {
         let (address, instance) = (&entry.address, &entry.instance);
-        println!("{address:<24}{instance:<16}{}", entry.failure_domain);
+        output::line(format_args!(
+            "{address:<24}{instance:<16}{}",
+            entry.failure_domain
+        ));
     }
-    println!("to be kept for {} ms", entries.ttl_ms);
+    output::line(format_args!("to be kept for {} ms", entries.ttl_ms));
     Ok(())
 }
--- a/flamingoctl/src/key.rs
+++ b/flamingoctl/src/key.rs
@@ -11,7 +11,8 @@
 use crate::{
     cli::KeyCommand,
     client::Client,
-    error::Result, //
+    error::Result,
+    output, //
 };
 
 pub(crate) async fn run(client: &Client, command: KeyCommand, json: bool) -> Result<()> {
@@ -29,11 +30,11 @@
     let answer = client.send(Method::POST, "/admin/keys", &body).await?;
     let granted: GrantedKey = answer.json()?;
     if json {
-        println!("{}", serde_json::json!(granted));
+        output::line(format_args!("{}", serde_json::json!(granted)));
         return Ok(());
     }
-    println!("key id  {}", granted.key_id);
-    println!("key     {}", granted.key);
+    output::line(format_args!("key id  {}", granted.key_id));
+    output::line(format_args!("key     {}", granted.key));
     eprintln!("The key is shown this once: hand it to {organisation} now.");
     Ok(())
 }
@@ -43,12 +44,16 @@
     let answer = client.send(Method::DELETE, &path, &()).await?;
     let withdrawn: WithdrawnKey = answer.json()?;
     if json {
-        println!("{}", serde_json::json!(withdrawn));
+        output::line(format_args!("{}", serde_json::json!(withdrawn)));
     } else if withdrawn.durable {
-        println!("{key_id} is withdrawn");
+        output::line(format_args!("{key_id} is withdrawn"));
     } else {
-        println!("{key_id} is withdrawn on all reachable instances");
-        println!("The log is away; the withdrawal is appended when it is back.");
+        output::line(format_args!(
+            "{key_id} is withdrawn on all reachable instances"
+        ));
+        output::line(format_args!(
+            "The log is away; the withdrawal is appended when it is back."
+        ));
     }
     Ok(())
 }
@@ -56,7 +61,7 @@
 async fn list(client: &Client, json: bool) -> Result<()> {
     let keys: Vec<ListedKey> = client.get("/admin/keys").await?;
     if json {
-        println!("{}", serde_json::json!(keys));
+        output::line(format_args!("{}", serde_json::json!(keys)));
         return Ok(());
     }
     for key in keys {
@@ -65,7 +70,10 @@
         } else {
             "in force"
         };
-        println!("{:<16}{:<24}{state}", key.key_id, key.organisation);
+        output::line(format_args!(
+            "{:<16}{:<24}{state}",
+            key.key_id, key.organisation
+        ));
     }
     Ok(())
 }
--- a/flamingoctl/src/main.rs
+++ b/flamingoctl/src/main.rs
@@ -9,6 +9,7 @@
 mod error;
 mod html;
 mod key;
+mod output;
 mod questionnaire;
 mod status;
 mod timeline;
--- /dev/null
+++ b/flamingoctl/src/output.rs
@@ -0,0 +1,50 @@
+//! What commands print on standard output.
+
+use std::{
+    fmt::Display,
+    io::{
+        ErrorKind,
+        Write, //
+    },
+    process::exit, //
+};
+
+/// Prints one line. A reader that closed the pipe, as `head` does, has seen enough: the command
+/// then ends well instead of panicking.
+pub(crate) fn line(text: impl Display) {
+    if let Some(code) = write_line(std::io::stdout().lock(), text) {
+        exit(code);
+    }
+}
+
+/// Writes one line; returns the exit code with which to end when it can't be written.
+fn write_line(mut out: impl Write, text: impl Display) -> Option<i32> {
+    let error = writeln!(out, "{text}").err()?;
+    Some(i32::from(error.kind() != ErrorKind::BrokenPipe))
+}
+
+#[cfg(test)]
+mod tests {
+    use std::io;
+
+    use super::*;
+
+    struct Failing(ErrorKind);
+
+    impl Write for Failing {
+        fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+            Err(self.0.into())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn a_closed_pipe_ends_well_and_a_full_disk_does_not() {
+        assert_eq!(write_line(Failing(ErrorKind::BrokenPipe), "x"), Some(0));
+        assert_eq!(write_line(Failing(ErrorKind::StorageFull), "x"), Some(1));
+        assert_eq!(write_line(Vec::new(), "x"), None);
+    }
+}
--- a/flamingoctl/src/questionnaire.rs
+++ b/flamingoctl/src/questionnaire.rs
@@ -28,7 +28,8 @@
     error::{
         CommandError,
         Result, //
-    }, //
+    },
+    output, //
 };
 
 /// Longest wait for a submission to be in force everywhere.
@@ -75,17 +76,17 @@
 fn check(file: &Path, json: bool) -> Result<()> {
     let (_, configuration) = read(file)?;
     if json {
-        println!("{}", serde_json::json!({"whole": true}));
+        output::line(format_args!("{}", serde_json::json!({"whole": true})));
         return Ok(());
     }
-    println!(
+    output::line(format_args!(
         "{} is whole: {} services, {} organisations, {} failure domains, {} trainers",
         file.display(),
         configuration.services.len(),
         configuration.organisations.len(),
         configuration.failure_domains.len(),
         configuration.trainers.len()
-    );
+    ));
     Ok(())
 }
 
@@ -93,7 +94,7 @@
     let (_, configuration) = read(file)?;
     // The configuration has no user-written map keys, so it always has a JSON form.
     let text = serde_json::to_string_pretty(&configuration).unwrap_or_default();
-    println!("{text}");
+    output::line(format_args!("{text}"));
     Ok(())
 }
 
@@ -103,12 +104,15 @@
     let difference = questionnaire::difference(&state.text, &text);
     if json {
         let revision = state.revision;
-        println!(
+        output::line(format_args!(
             "{}",
             serde_json::json!({"revision": revision, "difference": difference})
-        );
+        ));
     } else if difference.is_empty() {
-        println!("nothing differs from revision {}", state.revision);
+        output::line(format_args!(
+            "nothing differs from revision {}",
+            state.revision
+        ));
     } else {
         print_difference(&difference);
     }
@@ -118,11 +122,11 @@
 async fn show(client: &Client, json: bool) -> Result<()> {
     let state: QuestionnaireState = client.get("/admin/questionnaire").await?;
     if json {
-        println!("{}", serde_json::json!(state));
+        output::line(format_args!("{}", serde_json::json!(state)));
         return Ok(());
     }
     eprintln!("revision {}", state.revision);
-    print!("{}", state.text);
+    output::line(format_args!("{}", state.text.trim_end()));
     Ok(())
 }
 
@@ -151,9 +155,15 @@
     let accepted: QuestionnaireState = answer.json()?;
     wait_in_force(client, accepted.revision).await?;
     if json {
-        println!("{}", serde_json::json!({"revision": accepted.revision}));
+        output::line(format_args!(
+            "{}",
+            serde_json::json!({"revision": accepted.revision})
+        ));
     } else {
-        println!("revision {} is in force everywhere", accepted.revision);
+        output::line(format_args!(
+            "revision {} is in force everywhere",
+            accepted.revision
+        ));
     }
     Ok(())
 }
@@ -195,6 +205,6 @@
 
 fn print_difference(lines: &[String]) {
     for line in lines {
-        println!("{line}");
+        output::line(format_args!("{line}"));
     }
 }
--- a/flamingoctl/src/status.rs
+++ b/flamingoctl/src/status.rs
@@ -4,13 +4,14 @@
 
 use crate::{
     client::Client,
-    error::Result, //
+    error::Result,
+    output, //
 };
 
 pub(crate) async fn run(client: &Client, json: bool) -> Result<()> {
     let statuses = client.statuses().await?;
     if json {
-        println!("{}", serde_json::json!(statuses));
+        output::line(format_args!("{}", serde_json::json!(statuses)));
         return Ok(());
     }
     print_instances(&statuses);
@@ -22,7 +23,7 @@
 }
 
 fn print_instances(statuses: &[Status]) {
-    println!("instances");
+    output::line(format_args!("instances"));
     let Some(first) = statuses.first() else {
         return;
     };
@@ -36,37 +37,37 @@
             None => "gave no answer",
         };
         let revision = own.map_or(member.revision, |status| status.revision);
-        println!(
+        output::line(format_args!(
             "  {:<12}{:<12}{:<24}{:<10}revision {revision:<8}{fresh}",
             member.instance, member.failure_domain, member.address, member.health
-        );
+        ));
     }
 }
 
 fn print_endpoints(statuses: &[Status]) {
-    println!("endpoints");
+    output::line(format_args!("endpoints"));
     for endpoint in statuses.iter().flat_map(|status| &status.endpoints) {
         let version = match endpoint.version {
             Some(version) => format!("version {version}"),
             None => "version unknown".to_owned(),
         };
-        println!(
+        output::line(format_args!(
             "  {:<26} {:<14} home {:<12}{version:<18}{} in flight",
             endpoint.endpoint,
             endpoint.service,
             endpoint.home,
             endpoint.in_flight.unwrap_or(0)
-        );
+        ));
     }
 }
 
 fn print_leases(status: &Status) {
-    println!("leases");
+    output::line(format_args!("leases"));
     for (lease, holder) in &status.leases {
-        println!("  {lease:<24}{holder}");
+        output::line(format_args!("  {lease:<24}{holder}"));
     }
-    println!("newest weights");
+    output::line(format_args!("newest weights"));
     for (trainer, version) in &status.versions {
-        println!("  {trainer:<24}{version}");
+        output::line(format_args!("  {trainer:<24}{version}"));
     }
 }
--- a/flamingoctl/src/timeline.rs
+++ b/flamingoctl/src/timeline.rs
@@ -27,7 +27,8 @@
         CommandError,
         Result, //
     },
-    html, //
+    html,
+    output, //
 };
 
 /// Pause between two looks while following.
@@ -88,9 +89,9 @@
 fn print_events(events: &[Event], json: bool) {
     for event in events {
         if json {
-            println!("{}", serde_json::json!(event));
+            output::line(format_args!("{}", serde_json::json!(event)));
         } else {
-            println!("{}", format_event(event));
+            output::line(format_args!("{}", format_event(event)));
         }
     }
 }
