--- a/flamingoctl/src/cli.rs
+++ b/flamingoctl/src/cli.rs
@@ -102,9 +102,16 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Print the answers in force, with their revision.
+    /// Print the answers in force, or those of an earlier revision, with their revision.
     #[bpaf(command)]
-    Show,
+    Show {
+        /// An earlier revision, as `history` lists it.
+        #[bpaf(long, argument("REVISION"))]
+        revision: Option<u64>,
+    },
+    /// List the last revisions and what each changed.
+    #[bpaf(command)]
+    History,
 }
 
 #[derive(Clone, Debug, Bpaf)]
--- a/flamingoctl/src/questionnaire.rs
+++ b/flamingoctl/src/questionnaire.rs
@@ -16,6 +16,7 @@
     configuration::Configuration,
     questionnaire,
     wire::{
+        ListedRevision,
         QuestionnaireState,
         SubmitQuestionnaire, //
     }, //
@@ -45,7 +46,8 @@
         QuestionnaireCommand::Generate { file } => generate(&file),
         QuestionnaireCommand::Diff { file } => diff(client, &file, json).await,
         QuestionnaireCommand::Submit { base, file } => submit(client, base, &file, json).await,
-        QuestionnaireCommand::Show => show(client, json).await,
+        QuestionnaireCommand::Show { revision } => show(client, revision, json).await,
+        QuestionnaireCommand::History => history(client, json).await,
     }
 }
 
@@ -119,14 +121,52 @@
     Ok(())
 }
 
-async fn show(client: &Client, json: bool) -> Result<()> {
-    let state: QuestionnaireState = client.get("/admin/questionnaire").await?;
+async fn show(client: &Client, revision: Option<u64>, json: bool) -> Result<()> {
+    let state = match revision {
+        None => client.get("/admin/questionnaire").await?,
+        Some(revision) => earlier(client, revision).await?,
+    };
     if json {
-        output::line(format_args!("{}", serde_json::json!(state)));
+        output::line(serde_json::json!(state));
         return Ok(());
     }
     eprintln!("revision {}", state.revision);
-    output::line(format_args!("{}", state.text.trim_end()));
+    output::line(state.text.trim_end());
+    Ok(())
+}
+
+async fn earlier(client: &Client, revision: u64) -> Result<QuestionnaireState> {
+    let mut revisions = revisions(client).await?.into_iter();
+    let found = revisions.find(|listed| listed.revision == revision);
+    let listed = found.ok_or_else(|| {
+        CommandError::input(format!("revision {revision} is not kept: see `history`"))
+    })?;
+    Ok(QuestionnaireState {
+        revision: listed.revision,
+        text: listed.text,
+        difference: Vec::new(),
+    })
+}
+
+async fn revisions(client: &Client) -> Result<Vec<ListedRevision>> {
+    client.get("/admin/questionnaire/history").await
+}
+
+async fn history(client: &Client, json: bool) -> Result<()> {
+    let revisions = revisions(client).await?;
+    if json {
+        output::line(serde_json::json!(revisions));
+        return Ok(());
+    }
+    let mut before: Option<&ListedRevision> = None;
+    for listed in &revisions {
+        let (revision, writer) = (listed.revision, &listed.writer);
+        output::line(format_args!("revision {revision}, submitted at {writer}"));
+        if let Some(before) = before {
+            print_difference(&questionnaire::difference(&before.text, &listed.text));
+        }
+        before = Some(listed);
+    }
     Ok(())
 }
 
--- a/flamingoscale/src/admin.rs
+++ b/flamingoscale/src/admin.rs
@@ -32,6 +32,7 @@
         GrantKey,
         GrantedKey,
         ListedKey,
+        ListedRevision,
         MemberStatus,
         QuestionnaireState,
         Status,
@@ -74,6 +75,7 @@
         .wrap(from_fn(check_token))
         .route("/questionnaire", web::get().to(show_questionnaire))
         .route("/questionnaire", web::post().to(submit_questionnaire))
+        .route("/questionnaire/history", web::get().to(history))
         .route("/keys", web::get().to(list_keys))
         .route("/keys", web::post().to(grant_key))
         .route("/keys/{id}", web::delete().to(withdraw_key))
@@ -114,6 +116,19 @@
     HttpResponse::Ok().json(questionnaire_state(&view, Vec::new()))
 }
 
+async fn history(admin: web::Data<Admin>) -> HttpResponse {
+    let view = admin.instance.view.load();
+    let revisions = view.history.iter();
+    let listed: Vec<ListedRevision> = revisions
+        .map(|kept| ListedRevision {
+            revision: kept.revision,
+            writer: kept.writer.clone(),
+            text: kept.text.clone(),
+        })
+        .collect();
+    HttpResponse::Ok().json(listed)
+}
+
 async fn submit_questionnaire(
     admin: web::Data<Admin>,
     body: web::Json<SubmitQuestionnaire>,
--- a/flamingoscale/src/log/absorb.rs
+++ b/flamingoscale/src/log/absorb.rs
@@ -1,5 +1,7 @@
 //! From records to state, view and answers.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
 use crate::{
@@ -102,7 +104,10 @@
         self.context.instance.view.update(|view| {
             view.revision = state.revision;
             view.folded = state.folded;
+            view.text = state.text.clone();
             view.configuration = state.configuration.clone();
+            view.leases = Arc::new(state.holders());
+            view.history = state.history.clone();
             view.keys = keys;
             view.endpoints = state.endpoints.clone();
             view.versions = state.versions.clone();
--- a/flamingoscale/src/state.rs
+++ b/flamingoscale/src/state.rs
@@ -40,11 +40,16 @@
 };
 
 mod endpoints;
+mod history;
 #[cfg(test)]
 mod properties;
 mod sequences;
 pub(crate) mod snapshot;
 
+pub use history::{
+    History,
+    Revision, //
+};
 pub use sequences::Sequences;
 
 /// Why a submitted record is not in force.
@@ -178,6 +183,8 @@
     pub usage: BTreeMap<Arc<str>, RegionUsage>,
     /// The last serial folded of each writer's incarnation.
     pub serials: Sequences,
+    /// Configurations that were accepted, the one in force included.
+    pub history: Arc<History>,
 }
 
 impl State {
@@ -197,7 +204,7 @@
                 base_revision,
                 text,
                 configuration,
-            } => self.configure(offset, *base_revision, text, configuration),
+            } => self.configure(offset, envelope, *base_revision, text, configuration),
             Record::KeyGranted {
                 key_id,
                 digest,
@@ -259,9 +266,19 @@
         is_new.then_some(()).ok_or(Rejection::Repeated)
     }
 
+    /// Who claimed each lease last, without those that were given back.
+    pub fn holders(&self) -> BTreeMap<Arc<str>, Arc<str>> {
+        let leases = self.leases.iter();
+        leases
+            .filter(|(_, entry)| !entry.released)
+            .map(|(lease, entry)| (lease.clone(), entry.holder.clone()))
+            .collect()
+    }
+
     fn configure(
         &mut self,
         offset: u64,
+        envelope: &Envelope,
         base_revision: u64,
         text: &Arc<str>,
         configuration: &Arc<Configuration>,
@@ -269,6 +286,11 @@
         if base_revision != self.revision {
             return Err(Rejection::Stale);
         }
+        Arc::make_mut(&mut self.history).push(Revision {
+            revision: offset,
+            writer: envelope.writer.clone(),
+            text: text.clone(),
+        });
         self.revision = offset;
         self.text = text.clone();
         self.configuration = configuration.clone();
--- /dev/null
+++ b/flamingoscale/src/state/history.rs
@@ -0,0 +1,80 @@
+//! The configurations that were in force before, bounded in memory.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Most configurations that are remembered.
+const KEPT_REVISIONS: usize = 20;
+
+/// Most bytes of text that are remembered; the newest configuration is, whatever its length.
+const KEPT_BYTES: usize = 64 << 10;
+
+/// One accepted configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revision {
+    /// The offset of its record.
+    pub revision: u64,
+    /// The instance that submitted it.
+    pub writer: Arc<str>,
+    /// The questionnaire's text.
+    pub text: Arc<str>,
+}
+
+/// Accepted configurations, the oldest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct History {
+    revisions: VecDeque<Revision>,
+}
+
+impl History {
+    /// Adds the newest and forgets what is over the bounds.
+    pub(crate) fn push(&mut self, revision: Revision) {
+        self.revisions.push_back(revision);
+        while self.revisions.len() > 1 && self.is_over() {
+            self.revisions.pop_front();
+        }
+    }
+
+    /// The revisions, the oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = &Revision> {
+        self.revisions.iter()
+    }
+
+    fn is_over(&self) -> bool {
+        let bytes: usize = self.iter().map(|revision| revision.text.len()).sum();
+        self.revisions.len() > KEPT_REVISIONS || bytes > KEPT_BYTES
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn revision(revision: u64, bytes: usize) -> Revision {
+        Revision {
+            revision,
+            writer: "n1".into(),
+            text: "x".repeat(bytes).into(),
+        }
+    }
+
+    #[test]
+    fn the_newest_stays_and_the_oldest_goes() {
+        let mut history = History::default();
+        for number in 1..=30 {
+            history.push(revision(number, 10));
+        }
+        let kept: Vec<u64> = history.iter().map(|kept| kept.revision).collect();
+        assert_eq!(kept, (11..=30).collect::<Vec<u64>>());
+        history.push(revision(31, KEPT_BYTES + 1));
+        let kept: Vec<u64> = history.iter().map(|kept| kept.revision).collect();
+        assert_eq!(kept, [31]);
+    }
+}
--- a/flamingoscale/src/view.rs
+++ b/flamingoscale/src/view.rs
@@ -24,6 +24,7 @@
 use crate::{
     configuration::Configuration,
     keys::KeyTable,
+    state::History,
     wire::{
         PlatformEndpoint,
         Tier, //
@@ -111,6 +112,8 @@
     pub configuration: Arc<Configuration>,
     /// Holders by lease, for operators; traffic decides nothing by it.
     pub leases: Arc<BTreeMap<Arc<str>, Arc<str>>>,
+    /// Accepted configurations, for operators.
+    pub history: Arc<History>,
     /// Keys by digest, withdrawals from peers included.
     pub keys: Arc<KeyTable>,
     /// Endpoints.
--- a/flamingoscale/src/wire.rs
+++ b/flamingoscale/src/wire.rs
@@ -465,6 +465,17 @@
     pub difference: Vec<String>,
 }
 
+/// One row of `GET /admin/questionnaire/history`, the oldest first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListedRevision {
+    /// The revision.
+    pub revision: u64,
+    /// The instance that submitted it.
+    pub writer: Arc<str>,
+    /// Its text.
+    pub text: Arc<str>,
+}
+
 /// Body of `POST /admin/keys`.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GrantKey {
