--- a/bench/src/fairness.rs
+++ b/bench/src/fairness.rs
@@ -25,7 +25,10 @@
         Cluster,
         ClusterBuilder, //
     },
-    engine::EngineSettings,
+    engine::{
+        EngineSettings,
+        EngineStandin, //
+    },
     face::Host, //
 };
 
@@ -110,7 +113,7 @@
     output::progress("fairness", name);
     actix_rt::System::new().block_on(async {
         let host = Host::start().ok()?;
-        let cluster = start(&host)?;
+        let (cluster, _engines) = start(&host)?;
         actix_rt::time::sleep(Duration::from_millis(600)).await;
         let started = Instant::now();
         let mut names: Vec<&'static str> = SMALL.to_vec();
@@ -141,7 +144,7 @@
     })
 }
 
-fn start(host: &Host) -> Option<Cluster> {
+fn start(host: &Host) -> Option<(Cluster, Vec<Arc<EngineStandin>>)> {
     let mut builder = ClusterBuilder::default()
         .node("n1", "saiq")
         .organisation(FLOOD, 1, 0)
@@ -158,13 +161,15 @@
     for organisation in SMALL {
         builder = builder.organisation(organisation, 1, 0);
     }
+    let mut engines = Vec::new();
     for number in 0..2 {
         let name = format!("e{number}");
         let settings = EngineSettings::new(&*name).tokens_per_s(400.0).slots(4);
         let engine = settings.start(host).ok()?;
         builder = builder.endpoint(&name, "draft", "saiq", engine.address());
+        engines.push(engine);
     }
-    builder.start().ok()
+    Some((builder.start().ok()?, engines))
 }
 
 async fn send(
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -4,6 +4,7 @@
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
 mod fairness;
+mod faults;
 mod gateway;
 mod load;
 mod output;
@@ -41,6 +42,12 @@
             "the worst-served organisation while another floods, against first come, first served",
         run: fairness::run,
     },
+    Experiment {
+        name: "faults",
+        about:
+            "promised answers under crashes, losses and silence, against calls without the system",
+        run: faults::run,
+    },
     Experiment {
         name: "gateway",
         about: "added latency and requests a second of one node, against a direct call",
--- a/flamingoscale/src/dispatch/dispatcher.rs
+++ b/flamingoscale/src/dispatch/dispatcher.rs
@@ -97,7 +97,7 @@
     pub async fn watch(self: Arc<Self>) {
         let reading: Rc<RefCell<HashSet<EndpointKey>>> = Rc::default();
         loop {
-            self.routes();
+            self.follow_view();
             self.owners.follow_members();
             self.instance.demand.set_requests(self.desk.loads());
             for (key, address) in self.desk.targets() {
@@ -137,21 +137,25 @@
         }
     }
 
-    /// The routes of the present view.
+    /// The routes in use. Requests never build them: that takes milliseconds where there are
+    /// thousands of endpoints, and [`Self::watch`] does it within a fifth of a second.
     pub(crate) fn routes(&self) -> Arc<RouteTable> {
+        self.routes.load_full()
+    }
+
+    /// Builds the routes of the present view, unless they are in use already.
+    fn follow_view(&self) {
         let view = self.instance.view.load();
-        let routes = self.routes.load_full();
-        if routes.fits(&view) {
-            return routes;
+        if self.routes.load().fits(&view) {
+            return;
         }
-        // One thread builds; the others go on with the routes from before.
-        let Ok(_building) = self.building.try_lock() else {
-            return routes;
-        };
+        let _building = self
+            .building
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         let built = Arc::new(RouteTable::build(&view, &self.routes.load()));
         self.desk.sync(self.targets(&built));
-        self.routes.store(built.clone());
-        built
+        self.routes.store(built);
     }
 
     /// Answers what a peer's gateway asks.
@@ -263,7 +267,6 @@
 
 impl Homes for Dispatcher {
     fn at_home(&self) -> Vec<EndpointKey> {
-        self.routes();
         self.desk.at_home()
     }
 
--- a/flamingoscale/src/home/table.rs
+++ b/flamingoscale/src/home/table.rs
@@ -138,6 +138,8 @@
     version_known: bool,
     epoch: u64,
     running: HashMap<Ticket, Offer>,
+    /// The running request that nothing may run beside.
+    alone: Option<Ticket>,
     queue: FairQueue<Ticket>,
     waiting: HashMap<Ticket, Offer>,
     waiting_alone: VecDeque<Ticket>,
@@ -365,6 +367,7 @@
             version_known: false,
             epoch: 0,
             running: HashMap::new(),
+            alone: None,
             queue: FairQueue::default(),
             waiting: HashMap::new(),
             waiting_alone: VecDeque::new(),
@@ -416,7 +419,7 @@
         }
         if self.waiting.is_empty() && self.has_room(&offer, now_ms) {
             self.queue.charge(&offer.flow, offer.cost_tokens);
-            self.running.insert(offer.ticket, offer);
+            self.start(offer);
             return Verdict::Run;
         }
         if let Some(not_run) = self.too_late(&offer, now_ms) {
@@ -446,7 +449,7 @@
     }
 
     fn has_room(&self, offer: &Offer, now_ms: u64) -> bool {
-        if self.held || self.running_alone() {
+        if self.held || self.alone.is_some() {
             return false;
         }
         if offer.alone {
@@ -455,8 +458,11 @@
         (self.running.len() as u32) < self.slots_for(offer.flow.rollout, now_ms)
     }
 
-    fn running_alone(&self) -> bool {
-        self.running.values().any(|offer| offer.alone)
+    fn start(&mut self, offer: Offer) {
+        if offer.alone {
+            self.alone = Some(offer.ticket);
+        }
+        self.running.insert(offer.ticket, offer);
     }
 
     /// Rollouts leave one slot in eight to interactive requests where there were some lately.
@@ -476,14 +482,14 @@
     fn fill(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
         while let Some(ticket) = self.next(now_ms) {
             if let Some(offer) = self.waiting.remove(&ticket) {
-                self.running.insert(ticket, offer);
+                self.start(offer);
                 actions.push(Action::Start(ticket));
             }
         }
     }
 
     fn next(&mut self, now_ms: u64) -> Option<Ticket> {
-        if self.held || self.running_alone() || self.closed().is_some() {
+        if self.held || self.alone.is_some() || self.closed().is_some() {
             return None;
         }
         if !self.waiting_alone.is_empty() {
@@ -568,6 +574,7 @@
         let Some(offer) = self.running.remove(&ticket) else {
             return;
         };
+        self.alone = self.alone.filter(|alone| *alone != ticket);
         let tokens = used.map_or(0, |used| used.tokens);
         self.queue.settle(&offer.flow, offer.cost_tokens, tokens);
         if let Some(used) = used.filter(|used| used.ran_ms > 0 && used.tokens > 0) {
