--- a/flamingoscale/src/engine/run.rs
+++ b/flamingoscale/src/engine/run.rs
@@ -51,8 +51,11 @@
 /// Longest wait for the head of an answer.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(5_000);
 
-/// Longest silence within an answer.
-const BETWEEN_BYTES: Duration = Duration::from_millis(8_000);
+/// Silence within an answer after which the engine is asked how far it is.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Silences in a row after which an answer is given up though the engine has no more.
+const MOST_SILENCES: u32 = 6;
 
 /// When to try again after an engine refused for want of room.
 const FULL_RETRY_MS: u64 = 500;
@@ -128,7 +131,7 @@
     }
     let mut reader = Reader::new(target, work, events, watch.progress);
     let end = tokio::select! {
-        end = reader.read(&mut response) => end,
+        end = reader.read_or_probe(&mut response) => end,
         () = events.closed() => TryEnd::unknown("the caller is gone"),
         () = tokio::time::sleep_until(watch.deadline) => TryEnd::unknown("the deadline passed"),
         () = watch.must_move => take_along(target, work).await,
@@ -222,6 +225,10 @@
     }
 }
 
+/// Nothing came for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Silent;
+
 /// Reads one event stream and passes its chunks on.
 struct Reader<'a> {
     target: &'a Target,
@@ -256,27 +263,53 @@
         }
     }
 
-    async fn read(&mut self, response: &mut ClientResponse) -> TryEnd {
+    /// Reads on through pauses, but not through a connection that has gone silent: what the
+    /// engine has beyond what came tells the two apart, and is gone on from elsewhere.
+    async fn read_or_probe(&mut self, response: &mut ClientResponse) -> TryEnd {
+        let mut silences = 0;
+        let mut before = 0;
+        loop {
+            if let Ok(end) = self.read(response).await {
+                return end;
+            }
+            let got = self.progress.get();
+            silences = if got > before { 1 } else { silences + 1 };
+            before = got;
+            let address = self.target.address.clone();
+            let export = http::export(address.clone(), self.work.request_id.clone()).await;
+            let has = |export: &KvExport| export.versions.iter().map(|span| span.tokens).sum();
+            let produced: Option<u32> = export.as_ref().map(has);
+            let lost = match produced {
+                Some(produced) => produced > got,
+                None => got > 0,
+            };
+            if lost || silences >= MOST_SILENCES {
+                client::forget(&address);
+                let mut end = TryEnd::unknown("the engine's answer fell silent");
+                end.moved = export.filter(|_| lost).map(Box::new);
+                return end;
+            }
+        }
+    }
+
+    async fn read(&mut self, response: &mut ClientResponse) -> Result<TryEnd, Silent> {
         loop {
-            let bytes = match timeout(BETWEEN_BYTES, response.next()).await {
+            let bytes = match timeout(SILENCE, response.next()).await {
                 Ok(Some(Ok(bytes))) => bytes,
-                Ok(Some(Err(error))) => return TryEnd::broke(error.to_string()),
-                Ok(None) => return TryEnd::broke("the engine's answer ended early"),
-                Err(_) => {
-                    client::forget(&self.target.address);
-                    return TryEnd::unknown("the engine's answer fell silent");
-                }
+                Ok(Some(Err(error))) => return Ok(TryEnd::broke(error.to_string())),
+                Ok(None) => return Ok(TryEnd::broke("the engine's answer ended early")),
+                Err(_) => return Err(Silent),
             };
             self.parser.push(&bytes);
             loop {
                 match self.parser.next() {
                     Ok(Some(data)) => {
                         if let Some(end) = self.event(&data).await {
-                            return end;
+                            return Ok(end);
                         }
                     }
                     Ok(None) => break,
-                    Err(_) => return TryEnd::unknown("the engine sent an endless event"),
+                    Err(_) => return Ok(TryEnd::unknown("the engine sent an endless event")),
                 }
             }
         }
--- a/standin/tests/traffic/faults.rs
+++ b/standin/tests/traffic/faults.rs
@@ -42,6 +42,21 @@
     }
 }
 
+/// The text of all chunks of a stream.
+fn chunk_text(stream: &str) -> String {
+    let chunks = stream
+        .split("\n\n")
+        .filter_map(|e| e.strip_prefix("data: "));
+    let chunks = chunks.filter(|data| data.starts_with('{'));
+    chunks
+        .map(|data| {
+            serde_json::from_str::<CompletionChunk>(data)
+                .expect("a chunk")
+                .text
+        })
+        .collect()
+}
+
 #[actix_rt::test]
 async fn a_crash_costs_no_repeatable_request() {
     let bed = bed().await;
@@ -170,12 +185,7 @@
             }
             let text = String::from_utf8(bytes).expect("it is text");
             assert!(text.ends_with("data: [DONE]\n\n"), "{prompt}: {text:.200}");
-            let chunks = text.split("\n\n").filter_map(|e| e.strip_prefix("data: {"));
-            let chunks = chunks.map(|e| serde_json::from_str(&format!("{{{e}")));
-            let answer: String = chunks
-                .map(|chunk: Result<CompletionChunk, _>| chunk.expect("a chunk").text)
-                .collect();
-            assert_eq!(answer, expected_text(prompt, 0, 4_000));
+            assert_eq!(chunk_text(&text), expected_text(prompt, 0, 4_000));
         }
     });
     let leave = async {
@@ -229,3 +239,36 @@
     let posing = bed.services[1].runs();
     assert!(posing.is_empty(), "nothing is at its own address");
 }
+
+#[actix_rt::test]
+async fn streams_on_connections_that_fall_silent_go_on_elsewhere() {
+    let bed = bed().await;
+    let streams = (0..4).map(|number| {
+        let bed = &bed;
+        async move {
+            let prompt = format!("quiet way {number}");
+            // Four seconds; one that ends unheard meanwhile could not be gone on from.
+            let mut response = bed.send(number % 3, &request(&prompt, 8_000, true)).await;
+            let mut bytes = Vec::new();
+            while let Some(part) = response.next().await {
+                bytes.extend_from_slice(&part.expect("the stream is not cut"));
+            }
+            let text = String::from_utf8(bytes).expect("it is text");
+            let last = text.get(text.len().saturating_sub(300)..).unwrap_or("");
+            assert!(text.ends_with("data: [DONE]\n\n"), "{prompt}: {last}");
+            assert_eq!(chunk_text(&text), expected_text(&prompt, 0, 8_000));
+        }
+    });
+    let silence = async {
+        until("both engines run", || {
+            bed.engines
+                .iter()
+                .all(|engine| engine.generated_tokens() > 100)
+        })
+        .await;
+        for engine in &bed.engines {
+            engine.fault(&Fault::SilenceOpen);
+        }
+    };
+    futures::join!(join_all(streams), silence);
+}
