--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,14 +3,21 @@
 //! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
+mod capacity;
 mod fairness;
 mod faults;
 mod gateway;
+mod lease;
 mod load;
+mod membership;
+mod orders;
 mod output;
+mod process;
 mod report;
 mod routing;
+mod state;
 mod timeline;
+mod usage;
 
 use std::process::ExitCode;
 
@@ -36,6 +43,26 @@
 }
 
 const EXPERIMENTS: &[Experiment] = &[
+    Experiment {
+        name: "usage",
+        about: "counts lost and time to the bill, against counts without copies",
+        run: usage::run,
+    },
+    Experiment {
+        name: "orders",
+        about: "cost and backlog of the order policy against a fixed fleet and thresholds",
+        run: orders::run,
+    },
+    Experiment {
+        name: "membership",
+        about: "peer probes against heartbeats through the log",
+        run: membership::run,
+    },
+    Experiment {
+        name: "lease",
+        about: "takeover and time with two holders, against wall-clock timestamps",
+        run: lease::run,
+    },
     Experiment {
         name: "fairness",
         about:
@@ -53,11 +80,21 @@
         about: "added latency and requests a second of one node, against a direct call",
         run: gateway::run,
     },
+    Experiment {
+        name: "capacity",
+        about: "what control costs a node against nodes, endpoints and changes",
+        run: capacity::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
         run: report::run,
     },
+    Experiment {
+        name: state::NAME,
+        about: "fold, snapshots, time until a change is in force, racing changes",
+        run: state::run,
+    },
     Experiment {
         name: "routing",
         about: "cost of a choice as endpoints grow; cache hits against other policies",
