--- a/flamingoscale/tests/control.rs
+++ b/flamingoscale/tests/control.rs
@@ -17,7 +17,11 @@
 
 use bytes::Bytes;
 use flamingoscale::{
-    clock::BootClock,
+    clock::{
+        BootClock,
+        Clock,
+        ManualClock, //
+    },
     configuration::Configuration,
     control::{
         self,
@@ -297,6 +301,8 @@
     platform: FakePlatform,
     network: FakeNetwork,
     nodes: Vec<Node>,
+    /// A clock to move by hand; none for the machine's.
+    clock: Option<ManualClock>,
 }
 
 impl Cluster {
@@ -313,7 +319,11 @@
         let address = SocketAddr::from(([127, 0, 0, 1], 1));
         let settings = SettingsBuilder::new(name, "saiq", address, address).build();
         let incarnation = 100 + self.nodes.len() as u64;
-        let instance = Arc::new(Instance::new(settings, incarnation, Arc::new(BootClock)));
+        let clock: Arc<dyn Clock> = match &self.clock {
+            Some(clock) => Arc::new(clock.clone()),
+            None => Arc::new(BootClock),
+        };
+        let instance = Arc::new(Instance::new(settings, incarnation, clock));
         let (log, handler, control) = LogController::new(instance.clone());
         let id = instance.id().clone();
         self.network.lock().handlers.insert(id.clone(), handler);
@@ -568,3 +578,50 @@
     cluster.all("fresh", Node::is_fresh).await;
     cluster.stop();
 }
+
+#[actix_rt::test]
+async fn a_peer_gives_its_state_where_it_no_longer_has_the_records() {
+    let mut cluster = Cluster::start(2).await;
+    let key_id = cluster.grant(0).await;
+    // More than an instance keeps for others.
+    let junk = Bytes::from(vec![b'x'; 1 << 20]);
+    let records = std::iter::repeat_n(junk, 6);
+    cluster.platform.lock().records.extend(records);
+    cluster
+        .all("all is read", |node| {
+            node.instance.metrics.counted("log.foreign_record") == 6
+        })
+        .await;
+    cluster.platform.set_away(true);
+    cluster.add();
+    let newest = cluster.nodes.last().expect("one was added");
+    eventually("restored", || newest.is_in_force(&key_id)).await;
+    assert_eq!(newest.instance.metrics.counted("snapshot.installed"), 1);
+    let folded = |node: &Node| node.instance.view.load().folded;
+    assert_eq!(folded(newest), folded(&cluster.nodes[0]));
+    cluster.stop();
+}
+
+#[actix_rt::test]
+async fn a_log_without_a_snapshot_is_gone_on_with_only_after_a_long_search() {
+    let clock = ManualClock::default();
+    let mut cluster = Cluster {
+        clock: Some(clock.clone()),
+        ..Cluster::default()
+    };
+    let junk = std::iter::repeat_n(Bytes::from_static(b"junk"), 50);
+    cluster.platform.lock().records.extend(junk);
+    cluster.platform.lock().earliest = 40;
+    cluster.add();
+    let node = &cluster.nodes[0];
+    let searched = || node.instance.metrics.counted("log.truncated") == 1;
+    eventually("the search began", searched).await;
+    clock.advance(5_000);
+    actix_rt::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(node.instance.metrics.counted("log.state_lost"), 0);
+    assert!(!node.is_fresh());
+    clock.advance(6_000);
+    eventually("gone on", || node.is_fresh()).await;
+    assert_eq!(node.instance.metrics.counted("log.state_lost"), 1);
+    cluster.stop();
+}
