Keep a denial until its grant is read

A denial of a key that the receiver's fold did not know was dropped once the log had been read to its head. An instance that read the grant late, from a peer during an outage, then put the key in force. Such a denial is now kept for ten minutes, and nothing is appended for it until the grant is there.

--- a/flamingoscale/src/log/absorb.rs
+++ b/flamingoscale/src/log/absorb.rs
@@ -97,7 +97,7 @@
     pub(crate) fn publish(&mut self) {
         let state = self.context.state.borrow();
         let mut keys = state.keys.clone();
-        self.denials.settle(&keys, self.is_at_head);
+        self.denials.settle(&keys, self.context.instance.now_ms());
         self.denials.apply(&mut keys);
         self.context.instance.view.update(|view| {
             view.revision = state.revision;
--- a/flamingoscale/src/log/actor.rs
+++ b/flamingoscale/src/log/actor.rs
@@ -349,6 +349,7 @@
             timeline.record("log.away", "", &[("error", error)]);
         }
         self.instance().metrics.count("log.read_failed");
+        self.is_at_head = false;
         let members = self.members();
         self.follower.log_failed(now_ms, &members);
         self.freshness.failed(now_ms);
@@ -452,7 +453,7 @@
             None => return self.refuse_unknown(waiter),
         }
         let now_ms = self.instance().now_ms();
-        self.denials.add(&key_id, true, now_ms + WITHDRAW_WAIT_MS);
+        self.denials.add(&key_id, true, now_ms, WITHDRAW_WAIT_MS);
         let timeline = &self.instance().timeline;
         timeline.record("key.denied", "", &[("key_id", &key_id)]);
         self.publish();
@@ -484,7 +485,7 @@
             let turn = 1 + turn as u64;
             let added = self
                 .denials
-                .add(key_id, false, now_ms + turn * DENIAL_TURN_MS);
+                .add(key_id, false, now_ms, turn * DENIAL_TURN_MS);
             if added {
                 let timeline = &self.instance().timeline;
                 timeline.record("key.denied", "", &[("key_id", key_id)]);
@@ -502,6 +503,10 @@
             return;
         }
         for key_id in self.denials.due_appends(now_ms) {
+            // The withdrawal of a key that isn't granted yet would have no effect.
+            if self.context.state.borrow().keys.get(&key_id).is_none() {
+                continue;
+            }
             let deadline_ms = now_ms + SUBMIT_WAIT_MS;
             // Nobody waits for it: it's tried again until the fold has it.
             let _ = self
--- a/flamingoscale/src/log/denials.rs
+++ b/flamingoscale/src/log/denials.rs
@@ -16,12 +16,17 @@
 /// Pause before a denial is sent or appended again.
 const RETRY_MS: u64 = 1_000;
 
+/// How long a denial of a key that the log does not know is kept: its grant may have been read by
+/// the instance that denied the key, and not yet by this one.
+const UNKNOWN_MS: u64 = 600_000;
+
 /// Most denials that are kept; an operator withdraws keys one by one.
 const MOST_DENIALS: usize = 4_096;
 
 struct Denial {
     /// Whether an operator withdrew the key here, so that this instance tells the others.
     is_own: bool,
+    added_ms: u64,
     /// Members that have taken it.
     taken_by: BTreeSet<Arc<str>>,
     next_send_ms: u64,
@@ -36,9 +41,15 @@
 }
 
 impl Denials {
-    /// Adds a denial; returns whether it's new. One that was learnt from a peer is appended by
-    /// this instance only if nobody else has done so after some time.
-    pub(crate) fn add(&mut self, key_id: &Arc<str>, is_own: bool, append_at_ms: u64) -> bool {
+    /// Adds a denial that is to be appended after `pause_ms`; returns whether it's new. The pause
+    /// is longer for one that was learnt from a peer, as others may append it first.
+    pub(crate) fn add(
+        &mut self,
+        key_id: &Arc<str>,
+        is_own: bool,
+        now_ms: u64,
+        pause_ms: u64,
+    ) -> bool {
         if let Some(known) = self.denials.get_mut(key_id) {
             known.is_own |= is_own;
             return false;
@@ -48,9 +59,10 @@
         }
         let denial = Denial {
             is_own,
+            added_ms: now_ms,
             taken_by: BTreeSet::new(),
             next_send_ms: 0,
-            next_append_ms: append_at_ms,
+            next_append_ms: now_ms + pause_ms,
         };
         self.denials.insert(key_id.clone(), denial);
         true
@@ -61,13 +73,13 @@
         self.denials.keys().cloned().collect()
     }
 
-    /// Drops what the log holds. A key that the log doesn't know is dropped only once the log is
-    /// read to its head, as its grant may still be to come.
-    pub(crate) fn settle(&mut self, keys: &KeyTable, is_at_head: bool) {
-        self.denials.retain(|key_id, _| match keys.get(key_id) {
-            Some(entry) => !entry.withdrawn,
-            None => !is_at_head,
-        });
+    /// Drops what the log holds, and after a long time what it has never heard of.
+    pub(crate) fn settle(&mut self, keys: &KeyTable, now_ms: u64) {
+        self.denials
+            .retain(|key_id, denial| match keys.get(key_id) {
+                Some(entry) => !entry.withdrawn,
+                None => now_ms < denial.added_ms + UNKNOWN_MS,
+            });
     }
 
     /// Keys whose withdrawal should be appended now.
@@ -140,31 +152,35 @@
     #[test]
     fn a_denial_outlives_every_publication_until_the_log_holds_it() {
         let mut denials = Denials::default();
-        denials.add(&"fk-a".into(), false, 500);
-        for _ in 0..2 {
+        denials.add(&"fk-a".into(), false, 0, 500);
+        for now_ms in [0, 10 * UNKNOWN_MS] {
             let mut published = Arc::new(table(false));
-            denials.settle(&published, true);
+            denials.settle(&published, now_ms);
             denials.apply(&mut published);
             assert!(!published.is_in_force("fk-a"));
         }
-        denials.settle(&table(true), true);
+        denials.settle(&table(true), 0);
         assert!(denials.keys().is_empty());
     }
 
     #[test]
-    fn a_denial_of_an_unknown_key_waits_for_the_head() {
+    fn a_denial_waits_for_a_grant_that_is_still_to_be_read() {
         let mut denials = Denials::default();
-        denials.add(&"fk-b".into(), false, 0);
-        denials.settle(&table(false), false);
-        assert_eq!(denials.keys().len(), 1);
-        denials.settle(&table(false), true);
+        denials.add(&"fk-a".into(), false, 0, 0);
+        denials.settle(&KeyTable::default(), 1);
+        let mut published = Arc::new(table(false));
+        denials.settle(&published, 2);
+        denials.apply(&mut published);
+        assert!(!published.is_in_force("fk-a"));
+        denials.add(&"fk-b".into(), false, 0, 0);
+        denials.settle(&table(true), UNKNOWN_MS);
         assert!(denials.keys().is_empty());
     }
 
     #[test]
     fn appends_are_tried_again_with_pauses() {
         let mut denials = Denials::default();
-        denials.add(&"fk-a".into(), true, 100);
+        denials.add(&"fk-a".into(), true, 0, 100);
         assert!(denials.due_appends(99).is_empty());
         assert_eq!(denials.due_appends(100).len(), 1);
         assert!(denials.due_appends(101).is_empty());
