--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! `flamingoscale-bench EXPERIMENT --seed N` prints progress on standard error and JSON lines on
 //! standard output; the last line is a summary with its baseline's figures beside its own.
 
+mod capacity;
 mod fairness;
 mod gateway;
 mod lease;
@@ -10,6 +11,7 @@
 mod membership;
 mod orders;
 mod output;
+mod process;
 mod report;
 mod routing;
 mod state;
@@ -71,6 +73,11 @@
         about: "added latency and requests a second of one node, against a direct call",
         run: gateway::run,
     },
+    Experiment {
+        name: "capacity",
+        about: "what control costs a node against nodes, endpoints and changes",
+        run: capacity::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
