--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod capacity;
 mod fairness;
+mod faults;
 mod gateway;
 mod lease;
 mod load;
@@ -69,6 +70,12 @@
             "the worst-served organisation while another floods, against first come, first served",
         run: fairness::run,
     },
+    Experiment {
+        name: "faults",
+        about:
+            "promised answers under crashes, losses and silence, against calls without the system",
+        run: faults::run,
+    },
     Experiment {
         name: "gateway",
         about: "added latency and requests a second of one node, against a direct call",
--- a/flamingoctl/src/questionnaire.rs
+++ b/flamingoctl/src/questionnaire.rs
@@ -16,6 +16,7 @@
     configuration::Configuration,
     questionnaire,
     wire::{
+        ListedRevision,
         QuestionnaireState,
         SubmitQuestionnaire, //
     }, //
@@ -28,7 +29,8 @@
     error::{
         CommandError,
         Result, //
-    }, //
+    },
+    output, //
 };
 
 /// Longest wait for a submission to be in force everywhere.
@@ -44,7 +46,8 @@
         QuestionnaireCommand::Generate { file } => generate(&file),
         QuestionnaireCommand::Diff { file } => diff(client, &file, json).await,
         QuestionnaireCommand::Submit { base, file } => submit(client, base, &file, json).await,
-        QuestionnaireCommand::Show => show(client, json).await,
+        QuestionnaireCommand::Show { revision } => show(client, revision, json).await,
+        QuestionnaireCommand::History => history(client, json).await,
     }
 }
 
@@ -75,17 +78,17 @@
 fn check(file: &Path, json: bool) -> Result<()> {
     let (_, configuration) = read(file)?;
     if json {
-        println!("{}", serde_json::json!({"whole": true}));
+        output::line(format_args!("{}", serde_json::json!({"whole": true})));
         return Ok(());
     }
-    println!(
+    output::line(format_args!(
         "{} is whole: {} services, {} organisations, {} failure domains, {} trainers",
         file.display(),
         configuration.services.len(),
         configuration.organisations.len(),
         configuration.failure_domains.len(),
         configuration.trainers.len()
-    );
+    ));
     Ok(())
 }
 
@@ -93,7 +96,7 @@
     let (_, configuration) = read(file)?;
     // The configuration has no user-written map keys, so it always has a JSON form.
     let text = serde_json::to_string_pretty(&configuration).unwrap_or_default();
-    println!("{text}");
+    output::line(format_args!("{text}"));
     Ok(())
 }
 
@@ -103,26 +106,67 @@
     let difference = questionnaire::difference(&state.text, &text);
     if json {
         let revision = state.revision;
-        println!(
+        output::line(format_args!(
             "{}",
             serde_json::json!({"revision": revision, "difference": difference})
-        );
+        ));
     } else if difference.is_empty() {
-        println!("nothing differs from revision {}", state.revision);
+        output::line(format_args!(
+            "nothing differs from revision {}",
+            state.revision
+        ));
     } else {
         print_difference(&difference);
     }
     Ok(())
 }
 
-async fn show(client: &Client, json: bool) -> Result<()> {
-    let state: QuestionnaireState = client.get("/admin/questionnaire").await?;
+async fn show(client: &Client, revision: Option<u64>, json: bool) -> Result<()> {
+    let state = match revision {
+        None => client.get("/admin/questionnaire").await?,
+        Some(revision) => earlier(client, revision).await?,
+    };
     if json {
-        println!("{}", serde_json::json!(state));
+        output::line(serde_json::json!(state));
         return Ok(());
     }
     eprintln!("revision {}", state.revision);
-    print!("{}", state.text);
+    output::line(state.text.trim_end());
+    Ok(())
+}
+
+async fn earlier(client: &Client, revision: u64) -> Result<QuestionnaireState> {
+    let mut revisions = revisions(client).await?.into_iter();
+    let found = revisions.find(|listed| listed.revision == revision);
+    let listed = found.ok_or_else(|| {
+        CommandError::input(format!("revision {revision} is not kept: see `history`"))
+    })?;
+    Ok(QuestionnaireState {
+        revision: listed.revision,
+        text: listed.text,
+        difference: Vec::new(),
+    })
+}
+
+async fn revisions(client: &Client) -> Result<Vec<ListedRevision>> {
+    client.get("/admin/questionnaire/history").await
+}
+
+async fn history(client: &Client, json: bool) -> Result<()> {
+    let revisions = revisions(client).await?;
+    if json {
+        output::line(serde_json::json!(revisions));
+        return Ok(());
+    }
+    let mut before: Option<&ListedRevision> = None;
+    for listed in &revisions {
+        let (revision, writer) = (listed.revision, &listed.writer);
+        output::line(format_args!("revision {revision}, submitted at {writer}"));
+        if let Some(before) = before {
+            print_difference(&questionnaire::difference(&before.text, &listed.text));
+        }
+        before = Some(listed);
+    }
     Ok(())
 }
 
@@ -151,9 +195,15 @@
     let accepted: QuestionnaireState = answer.json()?;
     wait_in_force(client, accepted.revision).await?;
     if json {
-        println!("{}", serde_json::json!({"revision": accepted.revision}));
+        output::line(format_args!(
+            "{}",
+            serde_json::json!({"revision": accepted.revision})
+        ));
     } else {
-        println!("revision {} is in force everywhere", accepted.revision);
+        output::line(format_args!(
+            "revision {} is in force everywhere",
+            accepted.revision
+        ));
     }
     Ok(())
 }
@@ -195,6 +245,6 @@
 
 fn print_difference(lines: &[String]) {
     for line in lines {
-        println!("{line}");
+        output::line(format_args!("{line}"));
     }
 }
