Count peer bytes by part of the system

Cause: 1.8 KB/s a node went to peers and nothing said for what. Change: one counter by part; the capacity experiment prints the split.

--- a/bench/src/capacity.rs
+++ b/bench/src/capacity.rs
@@ -2,6 +2,7 @@
 //! nodes, endpoints and changes. The slopes carry `docs/CAPACITY.md`.
 
 use std::{
+    collections::BTreeMap,
     fmt::Write,
     net::SocketAddr,
     sync::Arc,
@@ -47,6 +48,9 @@
 /// Failure domains of the fleet.
 const DOMAINS: [&str; 4] = ["saiq", "shams", "nizwa", "hamra"];
 
+/// The parts of the system that talk to peers while no request runs.
+const PARTS: [&str; 6] = ["membership", "log", "gateway", "rollout", "usage", "orders"];
+
 /// Time until a fleet is counted as settled.
 const SETTLE: Duration = Duration::from_secs(8);
 
@@ -99,7 +103,7 @@
     round: Round,
     cpu_percent: f64,
     resident_kib: f64,
-    peer_bytes_per_s: f64,
+    peer_bytes_per_s: [f64; PARTS.len()],
     loopback_bytes_per_s: f64,
     appends_per_s: f64,
     in_force_ms: Vec<u64>,
@@ -138,7 +142,8 @@
             "changes": self.round.changes,
             "cpu_percent_of_a_core_per_node": self.cpu_percent,
             "resident_kib_per_node": self.resident_kib,
-            "peer_payload_bytes_per_s_per_node": self.peer_bytes_per_s,
+            "peer_payload_bytes_per_s_per_node": self.peer_bytes_per_s.iter().sum::<f64>(),
+            "of_which": PARTS.iter().zip(self.peer_bytes_per_s).collect::<BTreeMap<_, _>>(),
             "all_loopback_bytes_per_s_per_node": self.loopback_bytes_per_s,
             "appends_per_s": self.appends_per_s,
             "in_force_median_ms": in_force_ms.get(in_force_ms.len() / 2),
@@ -244,25 +249,30 @@
         let took_s = start.elapsed().as_secs_f64();
         let nodes = self.daemons.len() as f64;
         let spent_ms = process::cpu_ms() - cpu_ms;
+        let sent_now = self.peer_bytes();
         // Every byte sent is a byte received by another node.
-        let peer_bytes = 2 * (self.peer_bytes() - sent);
+        let both_ways = |part: usize| 2 * (sent_now[part] - sent[part]);
+        let per_node_s = |bytes: u64| bytes as f64 / took_s / nodes;
         let crossed = process::loopback_bytes() - loopback;
         Ok(Figures {
             round,
             cpu_percent: spent_ms as f64 / 10.0 / took_s / nodes,
             resident_kib: resident_kib as f64 / nodes,
-            peer_bytes_per_s: peer_bytes as f64 / took_s / nodes,
-            loopback_bytes_per_s: crossed as f64 / took_s / nodes,
+            peer_bytes_per_s: std::array::from_fn(|part| per_node_s(both_ways(part))),
+            loopback_bytes_per_s: per_node_s(crossed),
             appends_per_s: (self.platform.appends() - appends) as f64 / took_s,
             in_force_ms,
         })
     }
 
-    fn peer_bytes(&self) -> u64 {
-        let daemons = self.daemons.iter();
-        daemons
-            .map(|daemon| daemon.instance().metrics.counted("peer.sent_bytes"))
-            .sum()
+    fn peer_bytes(&self) -> [u64; PARTS.len()] {
+        let sum = |part: &str| {
+            let daemons = self.daemons.iter();
+            daemons
+                .map(|daemon| daemon.instance().metrics.sent_to_peers(part))
+                .sum()
+        };
+        PARTS.map(sum)
     }
 
     /// Submits a changed questionnaire and returns how long it took to be in force on all nodes.
--- a/flamingoscale/src/metrics.rs
+++ b/flamingoscale/src/metrics.rs
@@ -31,6 +31,13 @@
     pub kind: String,
 }
 
+/// Labels of the bytes sent to peers.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct PartLabel {
+    /// The part of the system, as `membership`.
+    pub part: String,
+}
+
 /// The metrics of one instance. Families are cheap to clone and may be used on any thread.
 #[derive(Debug)]
 pub struct Metrics {
@@ -40,6 +47,8 @@
     pub events: Family<KindLabel, Counter>,
     /// Anything with a current value, by one word.
     pub levels: Family<KindLabel, Gauge>,
+    /// Payload bytes sent to peers, by part of the system.
+    pub peer_bytes: Family<PartLabel, Counter>,
     registry: Mutex<Registry>,
 }
 
@@ -48,14 +57,17 @@
         let requests = Family::default();
         let events = Family::default();
         let levels = Family::default();
+        let peer_bytes = Family::default();
         let mut registry = Registry::with_prefix("flamingoscale");
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("events", "Events by kind", events.clone());
+        registry.register("peer_bytes", "Bytes sent to peers", peer_bytes.clone());
         registry.register("level", "Current values by kind", levels.clone());
         Self {
             requests,
             events,
             levels,
+            peer_bytes,
             registry: Mutex::new(registry),
         }
     }
@@ -68,10 +80,16 @@
         self.events.get_or_create(&label).inc();
     }
 
-    /// Adds a number of events, or of bytes, of a kind.
-    pub fn add(&self, kind: &str, count: u64) {
-        let label = KindLabel { kind: kind.into() };
-        self.events.get_or_create(&label).inc_by(count);
+    /// Counts the bytes of one message to a peer.
+    pub(crate) fn count_peer_bytes(&self, part: &str, bytes: usize) {
+        let label = PartLabel { part: part.into() };
+        self.peer_bytes.get_or_create(&label).inc_by(bytes as u64);
+    }
+
+    /// Returns how many bytes one part of the system has sent to peers.
+    pub fn sent_to_peers(&self, part: &str) -> u64 {
+        let label = PartLabel { part: part.into() };
+        self.peer_bytes.get_or_create(&label).get()
     }
 
     /// Returns how many events of a kind were counted.
--- a/flamingoscale/src/peer.rs
+++ b/flamingoscale/src/peer.rs
@@ -101,6 +101,21 @@
     Orders(orders::Message),
 }
 
+impl PeerRequest {
+    /// The part of the system that it belongs to, for counting.
+    pub(crate) fn part(&self) -> &'static str {
+        match self {
+            PeerRequest::Membership(_) => "membership",
+            PeerRequest::Log(_) => "log",
+            PeerRequest::Dispatch(_) => "dispatch",
+            PeerRequest::Gateway(_) => "gateway",
+            PeerRequest::Rollout(_) => "rollout",
+            PeerRequest::Usage(_) => "usage",
+            PeerRequest::Orders(_) => "orders",
+        }
+    }
+}
+
 /// What a peer answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[non_exhaustive]
@@ -121,6 +136,21 @@
     Orders(orders::Reply),
 }
 
+impl PeerReply {
+    /// The part of the system that it belongs to, for counting.
+    pub(crate) fn part(&self) -> &'static str {
+        match self {
+            PeerReply::Membership(_) => "membership",
+            PeerReply::Log(_) => "log",
+            PeerReply::Dispatch(_) => "dispatch",
+            PeerReply::Gateway(_) => "gateway",
+            PeerReply::Rollout(_) => "rollout",
+            PeerReply::Usage(_) => "usage",
+            PeerReply::Orders(_) => "orders",
+        }
+    }
+}
+
 /// What travels in one direction of a stream, with the sender's time-line stamp.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame<T> {
--- a/flamingoscale/src/peer/pool.rs
+++ b/flamingoscale/src/peer/pool.rs
@@ -266,7 +266,8 @@
         };
         let bytes = frame::encode(&frame);
         let bytes = bytes.map_err(|error| not_sent(&call.peer, error.to_string()))?;
-        instance.metrics.add("peer.sent_bytes", bytes.len() as u64);
+        let metrics = &instance.metrics;
+        metrics.count_peer_bytes(call.request.part(), bytes.len());
         Ok(bytes)
     }
 
--- a/flamingoscale/src/peer/server.rs
+++ b/flamingoscale/src/peer/server.rs
@@ -234,6 +234,7 @@
             let _ = send.send_data(Bytes::new(), true);
             return;
         };
+        let part = body.part();
         let frame = Frame {
             stamp: instance.timeline.stamp(),
             from: instance.id().clone(),
@@ -244,7 +245,7 @@
             return send.send_reset(Reason::INTERNAL_ERROR);
         };
         let metrics = &instance.metrics;
-        metrics.add("peer.sent_bytes", bytes.len() as u64);
+        metrics.count_peer_bytes(part, bytes.len());
         if send_all(&mut send, bytes).await.is_err() {
             return;
         }
