Give callers the slot kept from rollouts at once; split the home's table

Cause: while rollouts waited for a slot that is kept for callers, a caller that came had to wait for the next event at the endpoint though that slot was free.

Change: only callers who wait hold a new caller back. A slot has a file of its own, and the table's tests one of theirs. Regression test: a_caller_gets_the_slot_that_is_kept_from_rollouts_at_once.

--- a/flamingoscale/src/home.rs
+++ b/flamingoscale/src/home.rs
@@ -5,6 +5,7 @@
 use crate::view::EndpointKey;
 
 pub(crate) mod desk;
+mod slot;
 pub mod table;
 
 /// What the home of an endpoint knows of it.
--- a/flamingoscale/src/routing/fair.rs
+++ b/flamingoscale/src/routing/fair.rs
@@ -152,6 +152,11 @@
         true
     }
 
+    /// Whether callers wait.
+    pub fn has_interactive(&self) -> bool {
+        self.interactive.len > 0
+    }
+
     /// How many requests wait.
     pub fn len(&self) -> usize {
         self.interactive.len + self.rollouts.len
