--- a/flamingoscale/src/fuzz.rs
+++ b/flamingoscale/src/fuzz.rs
@@ -24,6 +24,7 @@
 };
 
 mod control;
+mod freshness;
 mod oracle;
 mod rollout;
 mod traffic;
@@ -134,6 +135,18 @@
     }
 }
 
+#[test]
+fn fuzz_freshness() {
+    run::<freshness::FreshnessTest>("fuzz_freshness");
+}
+
+#[test]
+fn fuzz_finds_planted_faults_of_freshness() {
+    for (plant, promise) in freshness::PLANTS {
+        finds::<freshness::FreshnessTest>(plant, promise);
+    }
+}
+
 #[test]
 fn fuzz_traffic() {
     run::<traffic::TrafficTest>("fuzz_traffic");
--- a/flamingoscale/src/fuzz/oracle.rs
+++ b/flamingoscale/src/fuzz/oracle.rs
@@ -48,6 +48,10 @@
     StartsAtHead,
     /// The fold of one instance lets a withdrawn key be granted again.
     RegrantsKey,
+    /// An instance that is cut off takes itself for all there is.
+    CountsItselfOnly,
+    /// The log's head counts as confirmed though it was not read.
+    ConfirmsUnread,
     /// A lost answer is taken for a refusal.
     UnknownIsNotRun,
     /// What may not run twice is tried again like everything else.
--- a/flamingoscale/src/log.rs
+++ b/flamingoscale/src/log.rs
@@ -41,7 +41,7 @@
 mod denials;
 mod events;
 mod follower;
-mod freshness;
+pub(crate) mod freshness;
 mod relays;
 mod serve;
 mod snapshots;
