Let no instance alone, and no new one, vouch for an unread log

Members that vanish now count for ten minutes even when the log is confirmed; an instance that never read the log has no vote; and one alone is never a majority. A single instance refuses while the log is away.

--- a/flamingoscale/src/fuzz/oracle.rs
+++ b/flamingoscale/src/fuzz/oracle.rs
@@ -48,8 +48,8 @@
     StartsAtHead,
     /// The fold of one instance lets a withdrawn key be granted again.
     RegrantsKey,
-    /// An instance that is cut off takes itself for all there is.
-    CountsItselfOnly,
+    /// A new instance that never read the log is counted with those that find it away.
+    NewcomersVote,
     /// The log's head counts as confirmed though it was not read.
     ConfirmsUnread,
     /// A lost answer is taken for a refusal.
--- a/flamingoscale/src/log/actor.rs
+++ b/flamingoscale/src/log/actor.rs
@@ -198,7 +198,8 @@
     fn take_members(&mut self) {
         let members = self.members();
         if !Arc::ptr_eq(&members, &self.last_members) {
-            self.freshness.members(&members);
+            let now_ms = self.instance().now_ms();
+            self.freshness.members(now_ms, &members);
             self.last_members = members;
         }
     }
--- a/flamingoscale/src/log/freshness.rs
+++ b/flamingoscale/src/log/freshness.rs
@@ -5,7 +5,7 @@
 //! know of no later record. See `docs/design/freshness.md`.
 
 use std::{
-    collections::BTreeSet,
+    collections::BTreeMap,
     sync::Arc, //
 };
 
@@ -21,6 +21,9 @@
 /// within the tolerance for withdrawn keys.
 pub(crate) const FRESH_MS: u64 = 4_000;
 
+/// How long a member that vanished without leaving still counts while the log can be read.
+const VANISHED_MS: u64 = 600_000;
+
 /// How long the outcome of a read tells something about the log.
 const SIGHT_MS: u64 = 5_000;
 
@@ -31,9 +34,10 @@
     fresh_until_ms: u64,
     /// What the last read of the log came to, and when.
     sight: (Sight, u64),
-    /// Members since the log was last confirmed. One that vanished without leaving still counts,
-    /// or else an isolated instance would soon be a majority of one.
-    electorate: BTreeSet<Arc<str>>,
+    /// Members with the time when they were last there. One that vanished without leaving counts
+    /// for a while, also when the log is confirmed meanwhile: or else an instance that lost its
+    /// peers first and the log later would be a majority of one.
+    electorate: BTreeMap<Arc<str>, u64>,
     /// Whether the instance was ever fresh; a new one can't tell what it missed.
     is_established: bool,
 }
@@ -44,7 +48,7 @@
             instance,
             fresh_until_ms: 0,
             sight: (Sight::Untried, 0),
-            electorate: BTreeSet::new(),
+            electorate: BTreeMap::new(),
             is_established: false,
         }
     }
@@ -60,31 +64,35 @@
         (left_ms > 0).then_some(left_ms)
     }
 
-    /// What this instance's own last read of the log came to, if that was a short time ago.
+    /// What this instance's own last read of the log came to, if that was a short time ago. A new
+    /// instance that finds the log away has no vote, as it can't tell what it missed.
     pub(crate) fn sight(&self, now_ms: u64) -> Sight {
         let (sight, seen_ms) = self.sight;
-        if now_ms < seen_ms + SIGHT_MS {
-            sight
-        } else {
+        let is_old = now_ms >= seen_ms + SIGHT_MS;
+        let is_blind = sight == Sight::Away && !self.is_established;
+        if is_old || is_blind {
             Sight::Untried
+        } else {
+            sight
         }
     }
 
     /// Takes in who is a member now.
-    pub(crate) fn members(&mut self, members: &[Member]) {
+    pub(crate) fn members(&mut self, now_ms: u64, members: &[Member]) {
         for member in members {
             if member.leaving {
                 self.electorate.remove(&member.instance);
             } else {
-                self.electorate.insert(member.instance.clone());
+                self.electorate.insert(member.instance.clone(), now_ms);
             }
         }
     }
 
     /// The log was read to its head by a read that began at `asked_ms`.
     pub(crate) fn confirmed(&mut self, asked_ms: u64, members: &[Member]) {
-        self.electorate.clear();
-        self.members(members);
+        self.electorate
+            .retain(|_, seen_ms| asked_ms < *seen_ms + VANISHED_MS);
+        self.members(asked_ms, members);
         self.extend(asked_ms + FRESH_MS);
     }
 
@@ -122,15 +130,16 @@
         }
     }
 
-    /// Counts those that found the log away; who did not look has no vote.
+    /// Counts those that found the log away; who did not look has no vote. An instance alone is
+    /// never a majority, for it may be one that has not met the others yet.
     fn count(&mut self, asked_ms: u64, answers: &[(Arc<str>, Standing)]) {
         let others = answers.iter().filter(|(peer, standing)| {
-            let is_member = *peer != self.instance && self.electorate.contains(peer);
+            let is_member = *peer != self.instance && self.electorate.contains_key(peer);
             is_member && standing.sight == Sight::Away
         });
         let agreeing = 1 + others.count();
-        self.electorate.insert(self.instance.clone());
-        if 2 * agreeing > self.electorate.len() {
+        self.electorate.insert(self.instance.clone(), asked_ms);
+        if agreeing > 1 && 2 * agreeing > self.electorate.len() {
             self.extend(asked_ms + FRESH_MS);
         }
     }
@@ -186,11 +195,43 @@
     fn an_isolated_instance_stops_being_fresh() {
         let mut freshness = cut_off();
         // Membership has given the others up; they still count.
-        freshness.members(&members(1));
+        freshness.members(2_000, &members(1));
         freshness.peers(2_000, 10, &[]);
         assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
     }
 
+    /// Found by fuzzing: those who had read a withdrawal were replaced, and the new ones agreed
+    /// with an instance that had missed it.
+    #[test]
+    fn a_new_instance_has_no_vote() {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.failed(1_000);
+        assert_eq!(freshness.sight(1_100), Sight::Untried);
+        freshness.reached(1_200);
+        assert_eq!(freshness.sight(1_300), Sight::Reached);
+    }
+
+    /// Found by fuzzing: the peers were cut off first, and the log was confirmed without them.
+    #[test]
+    fn an_instance_that_lost_its_peers_before_the_log_is_no_majority() {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.confirmed(1_000, &members(3));
+        freshness.confirmed(20_000, &members(1));
+        freshness.failed(21_000);
+        freshness.peers(21_000, 10, &[]);
+        assert_eq!(freshness.fresh_until_ms(), 20_000 + FRESH_MS);
+    }
+
+    #[test]
+    fn a_member_that_vanished_long_ago_does_not_count() {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.confirmed(1_000, &members(5));
+        freshness.confirmed(1_000 + VANISHED_MS, &members(2));
+        freshness.failed(2_000 + VANISHED_MS);
+        freshness.peers(2_000 + VANISHED_MS, 10, &answers(1..2, 10));
+        assert_eq!(freshness.fresh_until_ms(), 2_000 + VANISHED_MS + FRESH_MS);
+    }
+
     #[test]
     fn a_majority_that_finds_the_log_away_stays_fresh() {
         let mut freshness = cut_off();
@@ -232,7 +273,7 @@
         for member in &mut leaving[2..] {
             member.leaving = true;
         }
-        freshness.members(&leaving);
+        freshness.members(2_000, &leaving);
         freshness.peers(2_000, 10, &answers(1..2, 10));
         assert_eq!(freshness.fresh_until_ms(), 2_000 + FRESH_MS);
     }
@@ -240,7 +281,7 @@
     #[test]
     fn a_new_instance_needs_a_peer_that_is_fresh() {
         let mut freshness = Freshness::new("n0".into());
-        freshness.members(&members(3));
+        freshness.members(100, &members(3));
         freshness.failed(100);
         freshness.peers(100, 0, &answers(1..3, 0));
         assert_eq!(freshness.fresh_until_ms(), 0);
