Measure rollouts and weights; bound calls to scoring services

A coordinator makes at most 32 calls to scoring services at once, so a slow one holds up no engine and no memory beyond the step's.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -13,10 +13,12 @@
 mod output;
 mod process;
 mod report;
+mod rollout;
 mod routing;
 mod state;
 mod timeline;
 mod usage;
+mod weights;
 
 use std::process::ExitCode;
 
@@ -78,6 +80,16 @@
         about: "what control costs a node against nodes, endpoints and changes",
         run: capacity::run,
     },
+    Experiment {
+        name: "rollout",
+        about: "trainer idle time, staleness and waste, against synchronous steps",
+        run: rollout::run,
+    },
+    Experiment {
+        name: "weights",
+        about: "time for a version on all engines, against the store's limit and all at once",
+        run: weights::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
--- /dev/null
+++ b/bench/src/rollout.rs
@@ -0,0 +1,426 @@
+//! Trainer idle time, staleness and waste of rollouts under long-tailed lengths and sick engines.
+//!
+//! Real coordinators on engines and wires in one thread whose clock is paused: times are the
+//! model's, the decisions are the program's. The synchronous baseline and the policy without
+//! second tries run on the same seed, lengths and failures.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    sync::Arc,
+    time::Duration, //
+};
+
+use flamingoscale::{
+    view::EndpointKey,
+    wire::{
+        Batch,
+        OpenStep, //
+    }, //
+};
+use rand::{
+    RngExt as _,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+use serde_json::{
+    json,
+    Value, //
+};
+use standin::world::{
+    fleet::{
+        Fleet,
+        FleetSettings,
+        Lengths, //
+    },
+    World,
+    WorldTrainer, //
+};
+use tokio::time::{
+    sleep,
+    Instant, //
+};
+
+use crate::output;
+
+const NAME: &str = "rollout";
+
+/// Instances with coordinators.
+const INSTANCES: usize = 12;
+
+/// Steps of each trainer.
+const STEPS: u64 = 8;
+
+/// Time that a trainer trains on one batch.
+const TRAIN: Duration = Duration::from_secs(8);
+
+/// Time that an engine is out for a swap.
+const SWAP: Duration = Duration::from_millis(500);
+
+/// Time between the starts of two swaps: what the store needs for one engine.
+const SWAP_SPACING: Duration = Duration::from_millis(150);
+
+/// Versions that a sample may be behind.
+const BOUND: u64 = 6;
+
+/// Trainers and samples a step at the target size.
+const TARGET: (usize, u32) = (23, 2_048);
+
+/// How trainers work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Policy {
+    /// The next step is drawn while the trainer trains; stragglers get second tries.
+    Ahead,
+    /// The same without second tries.
+    WithoutSecondTries,
+    /// The next step is opened only when all engines have the newest weights.
+    Synchronous,
+}
+
+/// What one policy came to.
+#[derive(Clone, Debug, Default)]
+struct Figures {
+    idle_ms: u64,
+    total_ms: u64,
+    staleness: Vec<u64>,
+    tokens_delivered: u64,
+    tokens_generated: u64,
+    samples: u64,
+}
+
+impl Figures {
+    fn to_json(&self) -> Value {
+        let mut staleness = self.staleness.clone();
+        staleness.sort_unstable();
+        let count = staleness.len().max(1);
+        let sum: u64 = staleness.iter().sum();
+        let p99 = staleness.get(count * 99 / 100).copied().unwrap_or(0);
+        let thrown = self.tokens_generated.saturating_sub(self.tokens_delivered);
+        json!({
+            "idle_share": self.idle_ms as f64 / self.total_ms.max(1) as f64,
+            "samples": self.samples,
+            "samples_per_s": self.samples as f64 * 1_000.0 / self.total_ms.max(1) as f64,
+            "staleness_mean": sum as f64 / count as f64,
+            "staleness_p99": p99,
+            "tokens_thrown_away_share": thrown as f64 / self.tokens_generated.max(1) as f64,
+        })
+    }
+}
+
+pub(crate) fn run(seed: u64) {
+    let mut results = Vec::new();
+    for policy in [
+        Policy::Ahead,
+        Policy::WithoutSecondTries,
+        Policy::Synchronous,
+    ] {
+        output::progress(NAME, &format!("{policy:?}"));
+        let figures = paused(train(policy, seed)).to_json();
+        let mut line = figures.clone();
+        line["policy"] = format!("{policy:?}").into();
+        output::line(NAME, seed, line);
+        results.push(figures);
+    }
+    output::progress(NAME, "the target size");
+    let target = at_target_size(seed);
+    output::line(NAME, seed, target.clone());
+    let (own, without, synchronous) = (&results[0], &results[1], &results[2]);
+    let mut summary = own.clone();
+    for (name, value) in target.as_object().into_iter().flatten() {
+        summary[name] = value.clone();
+    }
+    summary["idle_share_without_second_tries"] = without["idle_share"].clone();
+    summary["tokens_thrown_away_share_without_second_tries"] =
+        without["tokens_thrown_away_share"].clone();
+    output::summary(NAME, seed, summary, synchronous.clone());
+}
+
+fn paused<T>(work: impl std::future::Future<Output = T>) -> T {
+    let system = actix_rt::System::with_tokio_rt(|| {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime can be built")
+    });
+    system.block_on(work)
+}
+
+async fn train(policy: Policy, seed: u64) -> Figures {
+    let settings = FleetSettings {
+        engines: 9,
+        slots: 16,
+        tokens_per_s: 50.0,
+        lengths: Lengths {
+            shortest: 40,
+            tail: 1.1,
+        },
+    };
+    let trainers = ["condition-notes", "lodge-notes", "branch-notices"];
+    let world_trainers = trainers.map(|name| WorldTrainer {
+        name: name.into(),
+        weight: 1,
+        staleness_bound: BOUND,
+    });
+    let fleet = Fleet::new(settings);
+    let second_tries = policy != Policy::WithoutSecondTries;
+    let world = World::with_second_tries(INSTANCES, &world_trainers, fleet, seed, second_tries);
+    let world = Rc::new(world);
+    let sickness = actix_rt::spawn(make_sick(world.clone(), seed));
+    let swaps = actix_rt::spawn(swap_engines(world.clone()));
+    let figures = Rc::new(RefCell::new(Figures::default()));
+    let started = Instant::now();
+    let running: Vec<_> = trainers
+        .iter()
+        .map(|name| {
+            let trainer = Trainer {
+                name: Arc::from(*name),
+                policy,
+                world: world.clone(),
+                figures: figures.clone(),
+            };
+            actix_rt::spawn(trainer.run())
+        })
+        .collect();
+    for trainer in running {
+        let _ = trainer.await;
+    }
+    sickness.abort();
+    swaps.abort();
+    let mut figures = figures.borrow().clone();
+    let trainers = trainers.len() as u64;
+    figures.total_ms = started.elapsed().as_millis() as u64 * trainers;
+    figures.tokens_generated = world.fleet.tokens();
+    figures
+}
+
+struct Trainer {
+    name: Arc<str>,
+    policy: Policy,
+    world: Rc<World>,
+    figures: Rc<RefCell<Figures>>,
+}
+
+impl Trainer {
+    async fn run(self) {
+        self.open(1).await;
+        for step in 1..=STEPS {
+            let waited = Instant::now();
+            let batch = self.fetch(step).await;
+            self.count(&batch, waited.elapsed());
+            let ahead = self.policy != Policy::Synchronous;
+            if ahead && step < STEPS {
+                self.open(step + 1).await;
+            }
+            sleep(TRAIN).await;
+            self.world.acknowledge("n0", &self.name, step).await;
+            let version = self.publish().await;
+            if !ahead && step < STEPS {
+                let waited = Instant::now();
+                self.wait_for_engines(version).await;
+                self.figures.borrow_mut().idle_ms += waited.elapsed().as_millis() as u64;
+                self.open(step + 1).await;
+            }
+        }
+    }
+
+    async fn open(&self, step: u64) {
+        let contents = contents(&self.name, step, 16, 8);
+        while !self
+            .world
+            .open("n0", &self.name, &contents)
+            .await
+            .is_success()
+        {
+            sleep(Duration::from_millis(200)).await;
+        }
+    }
+
+    async fn fetch(&self, step: u64) -> Batch {
+        loop {
+            match self.world.fetch("n0", &self.name, step, 30_000).await {
+                Ok(batch) if batch.complete => return batch,
+                _ => sleep(Duration::from_millis(100)).await,
+            }
+        }
+    }
+
+    fn count(&self, batch: &Batch, waited: Duration) {
+        let mut figures = self.figures.borrow_mut();
+        figures.idle_ms += waited.as_millis() as u64;
+        for sample in &batch.samples {
+            let oldest = sample.versions.iter().map(|span| span.version).min();
+            let staleness = batch.newest_version.saturating_sub(oldest.unwrap_or(0));
+            figures.staleness.push(staleness);
+            figures.tokens_delivered += u64::from(sample.tokens);
+            figures.samples += 1;
+        }
+    }
+
+    /// Trainers of one service number its versions together.
+    async fn publish(&self) -> u64 {
+        loop {
+            let version = self.world.newest_version().max(1) + 1;
+            let published = self.world.publish("n0", &self.name, version).await;
+            if published.is_success() {
+                self.world.fold();
+                return version;
+            }
+        }
+    }
+
+    async fn wait_for_engines(&self, version: u64) {
+        let fleet = &self.world.fleet;
+        while fleet
+            .keys()
+            .into_iter()
+            .any(|key| fleet.version(key) < Some(version))
+        {
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+fn contents(trainer: &str, step: u64, groups: u32, samples_per_group: u16) -> OpenStep {
+    let prompts = (0..groups).map(|group| format!("{trainer} {step} {group}").into());
+    OpenStep {
+        step,
+        prompts: prompts.collect(),
+        samples_per_group,
+        max_tokens: 1_500,
+        staleness_bound: BOUND,
+        deadline_ms: 30_000,
+        scoring: None,
+    }
+}
+
+/// Engines take the newest version in turn, as homes order it.
+async fn swap_engines(world: Rc<World>) {
+    loop {
+        let newest = world.newest_version();
+        for key in world.fleet.keys() {
+            if world.fleet.version(key) < Some(newest) {
+                let fleet = world.fleet.clone();
+                actix_rt::spawn(async move {
+                    fleet.begin_swap(key);
+                    sleep(SWAP).await;
+                    fleet.end_swap(key, Some(newest));
+                });
+                sleep(SWAP_SPACING).await;
+            }
+        }
+        sleep(SWAP).await;
+    }
+}
+
+/// Every few seconds an engine is slow, silent or gone for a while.
+async fn make_sick(world: Rc<World>, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x51C);
+    loop {
+        sleep(Duration::from_millis(random.random_range(2_000..8_000))).await;
+        let key = EndpointKey(random.random_range(0..9));
+        let for_ms = random.random_range(5_000..30_000);
+        let kind = random.random_range(0..4);
+        let fleet = world.fleet.clone();
+        match kind {
+            0 => fleet.crash(key),
+            1 => fleet.silence(key, true),
+            _ => fleet.slow(key, 10.0),
+        }
+        let newest = world.newest_version().max(1);
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(for_ms)).await;
+            match kind {
+                0 => fleet.restart(key, newest),
+                1 => fleet.silence(key, false),
+                _ => fleet.slow(key, 1.0),
+            }
+        });
+    }
+}
+
+/// Processor time and memory a sample with 23 trainers of 2,048 samples, engines and wires of the
+/// model included.
+fn at_target_size(seed: u64) -> Value {
+    let before = Usage::now();
+    let (samples, model_ms, peak_kb) = paused(async {
+        let (trainers, samples) = TARGET;
+        let settings = FleetSettings {
+            engines: 200,
+            slots: 64,
+            tokens_per_s: 100.0,
+            lengths: Lengths {
+                shortest: 40,
+                tail: 1.1,
+            },
+        };
+        let names: Vec<Arc<str>> = (0..trainers)
+            .map(|n| format!("trainer-{n}").into())
+            .collect();
+        let world_trainers: Vec<WorldTrainer> = names
+            .iter()
+            .map(|name| WorldTrainer {
+                name: name.clone(),
+                weight: 1,
+                staleness_bound: BOUND,
+            })
+            .collect();
+        let world = World::new(INSTANCES, &world_trainers, Fleet::new(settings), seed);
+        let started = Instant::now();
+        for name in &names {
+            let contents = contents(name, 1, samples / 16, 16);
+            world.open("n0", name, &contents).await;
+        }
+        let mut delivered = 0;
+        for name in &names {
+            delivered += loop {
+                match world.fetch("n0", name, 1, 30_000).await {
+                    Ok(batch) if batch.complete => break batch.samples.len() as u64,
+                    _ => sleep(Duration::from_millis(100)).await,
+                }
+            };
+        }
+        let model_ms = started.elapsed().as_millis() as u64;
+        (delivered, model_ms, Usage::now().peak_kb)
+    });
+    let after = Usage::now();
+    let cpu_us = (after.cpu_ms - before.cpu_ms) * 1_000;
+    let kb = peak_kb.saturating_sub(before.peak_kb);
+    json!({
+        "target_samples": samples,
+        "target_model_ms": model_ms,
+        "target_cpu_us_per_sample": cpu_us as f64 / samples.max(1) as f64,
+        "target_peak_bytes_per_sample": kb as f64 * 1_024.0 / samples.max(1) as f64,
+    })
+}
+
+/// What this process has used so far.
+struct Usage {
+    cpu_ms: u64,
+    peak_kb: u64,
+}
+
+impl Usage {
+    fn now() -> Self {
+        Self {
+            cpu_ms: read_cpu_ms().unwrap_or(0),
+            peak_kb: read_peak_kb().unwrap_or(0),
+        }
+    }
+}
+
+/// Processor time of this thread's process in milliseconds; the kernel counts in hundredths.
+fn read_cpu_ms() -> Option<u64> {
+    let stat = std::fs::read_to_string("/proc/self/stat").ok()?;
+    let after_name = stat.rsplit_once(')')?.1;
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let user: u64 = fields.get(11)?.parse().ok()?;
+    let system: u64 = fields.get(12)?.parse().ok()?;
+    Some((user + system) * 10)
+}
+
+fn read_peak_kb() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
--- a/flamingoscale/src/rollout/coordinator.rs
+++ b/flamingoscale/src/rollout/coordinator.rs
@@ -22,6 +22,7 @@
     rollout::{
         answer::Answer,
         copies::Copies,
+        core::Limits,
         driver::Driver,
         Message,
         Reply, //
@@ -47,12 +48,27 @@
 /// The coordinator of this instance: of the trainers that rank it first.
 pub struct Coordinator {
     shared: Arc<Shared>,
+    limits: Limits,
     receiver: Mutex<Option<mpsc::Receiver<Command>>>,
 }
 
 impl Coordinator {
     /// A coordinator that does nothing until [`Coordinator::run`].
     pub fn new(instance: Arc<Instance>, _homes: Arc<dyn Homes>) -> Arc<Self> {
+        Self::with_limits(instance, Limits::default())
+    }
+
+    /// A coordinator that gives stragglers no second tries: the baseline that
+    /// `docs/design/stragglers.md` measures against.
+    pub fn without_second_tries(instance: Arc<Instance>) -> Arc<Self> {
+        let limits = Limits {
+            second_tries: false,
+            ..Limits::default()
+        };
+        Self::with_limits(instance, limits)
+    }
+
+    fn with_limits(instance: Arc<Instance>, limits: Limits) -> Arc<Self> {
         let (commands, receiver) = mpsc::channel(COMMANDS);
         let shared = Shared {
             instance,
@@ -61,6 +77,7 @@
         };
         Arc::new(Self {
             shared: Arc::new(shared),
+            limits,
             receiver: Mutex::new(Some(receiver)),
         })
     }
@@ -69,7 +86,7 @@
     pub async fn run(self: Arc<Self>) {
         let receiver = lock(&self.receiver).take();
         if let Some(receiver) = receiver {
-            Driver::run(self.shared.clone(), receiver).await;
+            Driver::run(self.shared.clone(), self.limits, receiver).await;
         }
     }
 
--- a/flamingoscale/src/rollout/core.rs
+++ b/flamingoscale/src/rollout/core.rs
@@ -150,7 +150,6 @@
 
 impl Core {
     /// A core with other limits than the usual ones.
-    #[cfg(test)]
     pub(crate) fn new(limits: Limits) -> Self {
         Self {
             limits,
--- a/flamingoscale/src/rollout/core/limits.rs
+++ b/flamingoscale/src/rollout/core/limits.rs
@@ -25,6 +25,8 @@
     pub(crate) all_bytes: u64,
     /// A step that its trainer does not ask for is forgotten after this time.
     pub(crate) expiry_ms: u64,
+    /// Whether stragglers get second tries.
+    pub(crate) second_tries: bool,
 }
 
 impl Default for Limits {
@@ -33,6 +35,7 @@
             step_bytes: 96 << 20,
             all_bytes: 160 << 20,
             expiry_ms: 600_000,
+            second_tries: true,
         }
     }
 }
--- a/flamingoscale/src/rollout/core/second.rs
+++ b/flamingoscale/src/rollout/core/second.rs
@@ -99,6 +99,9 @@
         let Some(state) = self.trainers.get(trainer) else {
             return;
         };
+        if !self.limits.second_tries {
+            return;
+        }
         let pace = state.pace;
         for key in state.steps.clone() {
             for (sample, slow) in self.stragglers(key, &pace, now_ms) {
--- a/flamingoscale/src/rollout/driver.rs
+++ b/flamingoscale/src/rollout/driver.rs
@@ -22,7 +22,8 @@
     sync::{
         mpsc,
         oneshot,
-        Notify, //
+        Notify,
+        Semaphore, //
     },
     task::JoinHandle,
     time::MissedTickBehavior, //
@@ -45,6 +46,7 @@
         core::{
             Action,
             Core,
+            Limits,
             Opening, //
         },
         draw,
@@ -66,6 +68,9 @@
 /// Time between two looks for held steps whose coordinator is gone.
 const ORPHANS_MS: u64 = 1_000;
 
+/// Calls to scoring services that run at once.
+const SCORING_AT_ONCE: usize = 32;
+
 /// Longest wait for a copy holder before a trainer is told that its step is open.
 const SETTLE_MS: u64 = 1_500;
 
@@ -93,6 +98,8 @@
 pub(crate) struct Driver {
     shared: Arc<Shared>,
     pub(crate) core: RefCell<Core>,
+    /// Calls to scoring services that may run.
+    pub(crate) scoring: Semaphore,
     tries: RefCell<HashMap<TryKey, JoinHandle<()>>>,
     holders: RefCell<HashMap<StepKey, Rc<HolderTask>>>,
     waiters: RefCell<Vec<Waiter>>,
@@ -103,10 +110,15 @@
 
 impl Driver {
     /// Runs until no command can come any more.
-    pub(crate) async fn run(shared: Arc<Shared>, mut commands: mpsc::Receiver<Command>) {
+    pub(crate) async fn run(
+        shared: Arc<Shared>,
+        limits: Limits,
+        mut commands: mpsc::Receiver<Command>,
+    ) {
         let driver = Rc::new(Self {
             shared,
-            core: RefCell::default(),
+            core: RefCell::new(Core::new(limits)),
+            scoring: Semaphore::new(SCORING_AT_ONCE),
             tries: RefCell::default(),
             holders: RefCell::default(),
             waiters: RefCell::default(),
--- a/flamingoscale/src/rollout/scoring.rs
+++ b/flamingoscale/src/rollout/scoring.rs
@@ -81,6 +81,9 @@
     let repeatable = view.configuration.service(&service)?.idempotent;
     let mut backoff_ms = FIRST_BACKOFF_MS;
     for _ in 0..TRIES {
+        let Ok(place) = driver.scoring.acquire().await else {
+            return None;
+        };
         let mut work = work.clone();
         work.request_id = driver.instance().new_request_id();
         work.idempotent = repeatable;
@@ -89,6 +92,7 @@
             Call::Unknown if !repeatable => return None,
             Call::NotRun | Call::Unknown => {}
         }
+        drop(place);
         sleep(Duration::from_millis(backoff_ms)).await;
         backoff_ms *= 2;
     }
--- /dev/null
+++ b/standin/src/homes.rs
@@ -0,0 +1,226 @@
+//! One instance that is home to all engines, for tests and measurements of weight rollouts.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    time::Duration, //
+};
+
+use flamingoscale::{
+    clock::BootClock,
+    configuration::{
+        Configuration,
+        Service,
+        ServiceKind,
+        Tolerances,
+        Trainer, //
+    },
+    controller::{
+        weights::WeightsController,
+        ControlContext,
+        Controller as _, //
+    },
+    engine::{
+        http::HttpEngineControl,
+        EngineControl as _, //
+    },
+    home::{
+        HomeFacts,
+        Homes, //
+    },
+    instance::Instance,
+    platform::HttpPlatform,
+    settings::SettingsBuilder,
+    view::{
+        EndpointKey,
+        EndpointTable,
+        NewestVersion,
+        View, //
+    },
+    wire::{
+        EndpointPhase,
+        EndpointStatus,
+        PlatformEndpoint,
+        Tier, //
+    }, //
+};
+
+use crate::{
+    engine::EngineStandin,
+    world::lock, //
+};
+
+/// The service of all engines.
+const SERVICE: &str = "draft";
+
+/// The trainer whose weights they run.
+pub const TRAINER: &str = "notes";
+
+/// Time between two readings of an engine's status.
+const POLL: Duration = Duration::from_millis(100);
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    facts: HomeFacts,
+    held: bool,
+}
+
+/// What the instance knows of its engines, read over HTTP.
+#[derive(Debug, Default)]
+struct PolledHomes {
+    known: Mutex<BTreeMap<EndpointKey, Known>>,
+    most_held: Mutex<usize>,
+}
+
+impl PolledHomes {
+    fn take_in(&self, key: EndpointKey, status: Option<&EndpointStatus>) {
+        if let Some(known) = lock(&self.known).get_mut(&key) {
+            known.facts.reachable = status.is_some();
+            let usable = status.filter(|status| !status.swapping && !known.held);
+            known.facts.version = usable.map(|status| status.version);
+        }
+    }
+}
+
+impl Homes for PolledHomes {
+    fn at_home(&self) -> Vec<EndpointKey> {
+        lock(&self.known).keys().copied().collect()
+    }
+
+    fn facts(&self, endpoint: EndpointKey) -> Option<HomeFacts> {
+        lock(&self.known)
+            .get(&endpoint)
+            .map(|known| known.facts.clone())
+    }
+
+    fn hold(&self, endpoint: EndpointKey, held: bool) {
+        let mut all = lock(&self.known);
+        if let Some(known) = all.get_mut(&endpoint) {
+            known.held = held;
+            known.facts.version = None;
+        }
+        let now_held = all.values().filter(|known| known.held).count();
+        let mut most = lock(&self.most_held);
+        *most = (*most).max(now_held);
+    }
+}
+
+/// An instance whose weights controller looks after `engines`. It lives on one thread.
+pub struct WeightsHome {
+    instance: Arc<Instance>,
+    homes: Arc<PolledHomes>,
+}
+
+impl WeightsHome {
+    /// Starts the controller; the engines keep what they have until [`WeightsHome::publish`].
+    pub fn start(engines: &[Arc<EngineStandin>], store: SocketAddr, bytes_per_s: u64) -> Self {
+        let unused = ([127, 0, 0, 1], 1).into();
+        let settings = SettingsBuilder::new("n1", "d1", unused, store).build();
+        let instance = Arc::new(Instance::new(settings, 1, Arc::new(BootClock)));
+        let homes = Arc::new(PolledHomes::default());
+        for (key, engine) in (0..).map(EndpointKey).zip(engines) {
+            lock(&homes.known).insert(key, Known::default());
+            actix_rt::spawn(poll(homes.clone(), key, engine.address()));
+        }
+        instance.view.store(view(engines, bytes_per_s));
+        let context = ControlContext {
+            instance: instance.clone(),
+            state: Rc::default(),
+            platform: HttpPlatform::new(unused),
+        };
+        Box::new(WeightsController::new(instance.clone(), homes.clone())).start(context);
+        Self { instance, homes }
+    }
+
+    /// Says that a version is in the log, at an offset of its own.
+    pub fn publish(&self, version: u64, bytes: u64) {
+        let mut view = View::clone(&self.instance.view.load());
+        let newest = NewestVersion {
+            version,
+            bytes,
+            offset: 100 + version,
+        };
+        view.versions = Arc::new(BTreeMap::from([(TRAINER.into(), newest)]));
+        self.instance.view.store(view);
+    }
+
+    /// The most engines that were out of work at once.
+    pub fn most_held(&self) -> usize {
+        *lock(&self.homes.most_held)
+    }
+
+    /// Engines that are out of work now.
+    pub fn held(&self) -> usize {
+        let known = lock(&self.homes.known);
+        known.values().filter(|known| known.held).count()
+    }
+
+    /// Counts one kind of event.
+    pub fn counted(&self, kind: &str) -> u64 {
+        self.instance.metrics.counted(kind)
+    }
+}
+
+/// Reads one engine's status again and again; while it is held its version stays unknown.
+async fn poll(homes: Arc<PolledHomes>, key: EndpointKey, address: SocketAddr) {
+    let address = address.to_string();
+    loop {
+        let status = HttpEngineControl.status(&address).await.ok();
+        homes.take_in(key, status.as_ref());
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn view(engines: &[Arc<EngineStandin>], bytes_per_s: u64) -> View {
+    let mut table = EndpointTable::default();
+    for engine in engines {
+        let platform = PlatformEndpoint {
+            endpoint: engine.endpoint().clone(),
+            service: SERVICE.into(),
+            failure_domain: "d1".into(),
+            address: engine.address().to_string().into(),
+            tier: Tier::Firm,
+            phase: EndpointPhase::Running,
+            order: 0,
+        };
+        table.upsert(&platform);
+    }
+    let service = Service {
+        name: SERVICE.into(),
+        kind: ServiceKind::Engine,
+        idempotent: true,
+        open: false,
+        firm_floor: 1,
+        ceiling: 1_000,
+        slots: 4,
+        checks_fencing: true,
+    };
+    let trainer = Trainer {
+        name: TRAINER.into(),
+        organisation: "ridge".into(),
+        service: SERVICE.into(),
+        weight: 1,
+        staleness_bound: 2,
+    };
+    let tolerances = Tolerances {
+        store_bytes_per_s: bytes_per_s,
+        ..Tolerances::default()
+    };
+    let configuration = Configuration {
+        services: vec![service],
+        trainers: vec![trainer],
+        tolerances,
+        ..Configuration::default()
+    };
+    View {
+        revision: 1,
+        configuration: Arc::new(configuration),
+        endpoints: Arc::new(table),
+        ..View::default()
+    }
+}
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod engine;
 pub mod face;
 pub mod faults;
+pub mod homes;
 pub mod platform;
 pub mod service;
 pub mod trainer;
--- a/standin/src/world.rs
+++ b/standin/src/world.rs
@@ -149,6 +149,7 @@
     shared: Arc<Mutex<Shared>>,
     wires: Wires,
     clock: RuntimeClock,
+    second_tries: bool,
     next_incarnation: Cell<u64>,
     /// The engines.
     pub fleet: Fleet,
@@ -157,6 +158,17 @@
 impl World {
     /// A world of `instances` spread over three failure domains, on the engines of `fleet`.
     pub fn new(instances: usize, trainers: &[WorldTrainer], fleet: Fleet, seed: u64) -> Self {
+        Self::with_second_tries(instances, trainers, fleet, seed, true)
+    }
+
+    /// The same, with or without second tries for stragglers.
+    pub fn with_second_tries(
+        instances: usize,
+        trainers: &[WorldTrainer],
+        fleet: Fleet,
+        seed: u64,
+        second_tries: bool,
+    ) -> Self {
         let clock = RuntimeClock::start();
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let (key, entry) = keys::generate(ORGANISATION.into(), &mut random);
@@ -171,6 +183,7 @@
             shared: Arc::default(),
             wires: Wires::new(seed),
             clock,
+            second_tries,
             next_incarnation: Cell::new(1),
             fleet,
         };
@@ -191,7 +204,11 @@
         instance.set_peers(self.wires.peers_of(instance.id()));
         instance.set_control(Arc::new(LogControl(self.shared.clone())));
         instance.view.set_fresh_until(u64::MAX);
-        let coordinator = Coordinator::new(instance.clone(), Arc::new(NoHomes));
+        let coordinator = if self.second_tries {
+            Coordinator::new(instance.clone(), Arc::new(NoHomes))
+        } else {
+            Coordinator::without_second_tries(instance.clone())
+        };
         self.wires.connect(instance.id(), coordinator.clone());
         let running = coordinator.clone();
         // Tasks of the coordinator die with this set, as they would with the process.
