Judge stragglers by their recent speed, and not while they wait for a slot

A try that waited in a home's queue counted as slow, so whole groups got second tries that waited in the same queues; a try whose engine had recovered was judged by its whole past. Now a started try is judged by its speed of late, and one that waits only after three usual samples.

--- a/flamingoscale/src/rollout/core/second.rs
+++ b/flamingoscale/src/rollout/core/second.rs
@@ -17,6 +17,12 @@
 /// How long a sample is expected to take before the first is through.
 const FIRST_SAMPLE_MS: u64 = 10_000;
 
+/// A try that waits for its engine is left there for this many usual samples.
+const QUEUE_PATIENCE: f64 = 3.0;
+
+/// A try that shows nothing for longer than this counts as slower than it last was.
+const SILENT_MS: f64 = 1_000.0;
+
 /// Weight of the newest observation in a running mean.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -79,13 +85,17 @@
         if self.tokens_per_ms <= 0.0 || ran_ms < JUDGED_AFTER_MS {
             return false;
         }
-        let usual_rate = self.tokens_per_ms;
-        let rate = f64::from(running.tokens) / ran_ms as f64;
-        rate * SLOW_FACTOR < usual_rate
+        if running.endpoint.is_none() {
+            // It waits for a slot, as a second try would; only a queue that stands still is left.
+            return ran_ms as f64 > QUEUE_PATIENCE * self.sample_ms;
+        }
+        let silent_ms = now_ms.saturating_sub(running.progress_ms);
+        let lively = (SILENT_MS / silent_ms.max(1) as f64).min(1.0);
+        running.tokens_per_ms * lively * SLOW_FACTOR < self.tokens_per_ms
     }
 }
 
-fn mean(kept: &mut f64, observed: f64) {
+pub(super) fn mean(kept: &mut f64, observed: f64) {
     *kept = if *kept > 0.0 {
         *kept + NEWEST_WEIGHT * (observed - *kept)
     } else {
--- a/flamingoscale/src/rollout/core/tries.rs
+++ b/flamingoscale/src/rollout/core/tries.rs
@@ -1,6 +1,9 @@
 //! Tries: one run of one sample on one engine.
 
-use super::*;
+use super::{
+    second::mean,
+    *, //
+};
 
 /// Longest wait before a refused sample is offered again.
 const LONGEST_BACKOFF_MS: u64 = 2_000;
@@ -60,6 +63,8 @@
     pub(super) endpoint: Option<EndpointKey>,
     pub(super) tokens: u32,
     pub(super) progress_ms: u64,
+    /// Its speed of late.
+    pub(super) tokens_per_ms: f64,
     pub(super) second: bool,
 }
 
@@ -127,6 +132,7 @@
             endpoint: None,
             tokens: 0,
             progress_ms: now_ms,
+            tokens_per_ms: 0.0,
             second,
         };
         self.tries.insert(key, started);
@@ -145,6 +151,9 @@
     /// A try has come so far.
     pub(crate) fn progressed(&mut self, key: TryKey, tokens: u32, now_ms: u64) {
         if let Some(running) = self.tries.get_mut(&key) {
+            let since_ms = now_ms.saturating_sub(running.progress_ms).max(1);
+            let gained = f64::from(tokens.saturating_sub(running.tokens));
+            mean(&mut running.tokens_per_ms, gained / since_ms as f64);
             running.tokens = tokens;
             running.progress_ms = now_ms;
         }
