--- a/flamingoscale/src/log/absorb.rs
+++ b/flamingoscale/src/log/absorb.rs
@@ -1,5 +1,7 @@
 //! From records to state, view and answers.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
 use crate::{
@@ -97,12 +99,15 @@
     pub(crate) fn publish(&mut self) {
         let state = self.context.state.borrow();
         let mut keys = state.keys.clone();
-        self.denials.settle(&keys, self.is_at_head);
+        self.denials.settle(&keys, self.context.instance.now_ms());
         self.denials.apply(&mut keys);
         self.context.instance.view.update(|view| {
             view.revision = state.revision;
             view.folded = state.folded;
+            view.text = state.text.clone();
             view.configuration = state.configuration.clone();
+            view.leases = Arc::new(state.holders());
+            view.history = state.history.clone();
             view.keys = keys;
             view.endpoints = state.endpoints.clone();
             view.versions = state.versions.clone();
