Let unread streams of a connection hold up no other call

Eight streams that nobody read filled the connection's window of 8 MiB, one each; every other call on it then waited, probes included, until the peer looked dead. A stream now has 256 KiB and a connection 1 GiB, so that a stream's own window is the bound. The test fails with the old windows.

--- a/flamingoscale/src/peer.rs
+++ b/flamingoscale/src/peer.rs
@@ -45,10 +45,11 @@
 const STREAM_REPLIES: usize = 32;
 
 /// Bytes of one stream that may be under way.
-const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
-/// Bytes of one connection that may be under way.
-const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+/// Bytes of one connection that may be under way: more than all streams of a connection are
+/// likely to hold up, so that slow readers of some never stop the others.
+const CONNECTION_WINDOW_BYTES: u32 = 1 << 30;
 
 /// Names the instance that a request is for.
 const TO_HEADER: &str = "flamingoscale-to";
--- a/flamingoscale/src/peer/tests.rs
+++ b/flamingoscale/src/peer/tests.rs
@@ -257,6 +257,40 @@
     });
 }
 
+#[test]
+fn streams_that_nobody_reads_hold_up_no_other() {
+    run(async {
+        let (server, client) = (instance("b", None), instance("a", None));
+        let (address, mut requests) = start(&server);
+        let pool = PeerPool::new(client.clone());
+        let peer: Arc<str> = "b".into();
+        let body = bytes::Bytes::from(vec![7; 64 << 10]);
+        let large = PeerReply::Dispatch(dispatch::WorkEvent::Body(body));
+        let sent = std::rc::Rc::new(std::cell::Cell::new(0));
+        let mut unread = Vec::new();
+        for _ in 0..12 {
+            unread.push(pool.open(&peer, &address, request()));
+            let (_, sender) = requests.recv().await.expect("the request arrives");
+            let (large, sent) = (large.clone(), sent.clone());
+            tokio::task::spawn_local(async move {
+                while sender.send(large.clone()).await.is_ok() {
+                    sent.set(sent.get() + 1);
+                }
+            });
+        }
+        let mut before = 0;
+        while sent.get() == 0 || sent.get() > before {
+            before = sent.get();
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        let stream = pool.open(&peer, &address, request());
+        let (_, sender) = requests.recv().await.expect("the request arrives");
+        sender.send(reply()).await.expect("the client reads");
+        assert_eq!(stream.single(&peer).await, Ok(reply()));
+        drop(unread);
+    });
+}
+
 /// An authority and certificates in files, one for each name.
 struct Certificates {
     directory: std::path::PathBuf,
