Keep "unknown" also where the time runs out between two tries

Cause: a request whose first try may have run, and whose time ended just before its next try, was refused as "not run".

Change: that end goes the same way as the others, which remembers earlier tries. A test with a service that runs a call and then crashes for good: the call ran once and is unknown (it passed before this change too, by way of the tries that were refused).

--- a/flamingoscale/src/dispatch/entry.rs
+++ b/flamingoscale/src/dispatch/entry.rs
@@ -93,7 +93,7 @@
             let left_ms = deadline_ms.saturating_sub(self.instance.now_ms());
             if left_ms == 0 {
                 let late = NotRun::for_good(Refusal::Deadline);
-                return Ok(Outcome::NotRun(late));
+                return Ok(delivery.finish(Outcome::NotRun(late)));
             }
             work.budget_ms = left_ms;
             let outcome = self.one_try(&mut work, number, delivery).await?;
--- a/standin/tests/traffic/faults.rs
+++ b/standin/tests/traffic/faults.rs
@@ -18,6 +18,7 @@
 
 use crate::bed::{
     bed,
+    client,
     outcome,
     request,
     Bed,
@@ -272,3 +273,17 @@
     };
     futures::join!(join_all(streams), silence);
 }
+
+#[actix_rt::test]
+async fn a_retry_that_is_refused_does_not_hide_a_first_try_that_ran() {
+    let bed = bed().await;
+    let board = &bed.services[2];
+    board.fault(&Fault::Poison {
+        text: "poison".into(),
+        back_after_ms: 60_000,
+    });
+    let sent = client().post(bed.url(0, "/s/board/x"));
+    let response = sent.send_body("poison").await.expect("an answer");
+    assert_eq!(bed.runs("poison"), 1);
+    assert_eq!(outcome(&response), "unknown");
+}
