Bound callers' connections and the time for a request's head

Cause: neither had a limit, so idle or slow callers could use up descriptors. Conclusion: more connections wait in the listen queue.

--- a/flamingoscale/src/daemon.rs
+++ b/flamingoscale/src/daemon.rs
@@ -83,6 +83,12 @@
 /// Seconds that the HTTP server waits for open answers once it is told to stop.
 const HTTP_STOP_S: u64 = 60;
 
+/// Callers' connections that one thread keeps open; more wait to be accepted.
+const CONNECTIONS_PER_THREAD: usize = 4_096;
+
+/// Longest time for a caller to send the head of a request.
+const REQUEST_HEAD_LIMIT: Duration = Duration::from_secs(10);
+
 /// Why an instance can't start.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 #[non_exhaustive]
@@ -236,6 +242,8 @@
         App::new().configure(move |config| parts.configure(config))
     })
     .workers(threads)
+    .max_connections(CONNECTIONS_PER_THREAD)
+    .client_request_timeout(REQUEST_HEAD_LIMIT)
     .shutdown_timeout(HTTP_STOP_S)
     .disable_signals()
     .listen(callers);
