--- /dev/null
+++ b/standin/tests/retention.rs
@@ -0,0 +1,92 @@
+//! State outlives the records that made it: whole daemons on a platform that keeps little.
+
+use std::{
+    net::SocketAddr,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::{
+    daemon::Daemon,
+    questionnaire,
+    record::Record,
+    settings::SettingsBuilder, //
+};
+use futures::executor::block_on;
+use standin::{
+    face::Host,
+    platform::{
+        Platform,
+        PlatformSettings, //
+    }, //
+};
+
+/// How long the platform keeps a record.
+const RETENTION_MS: u64 = 12_000;
+
+/// Longest wait for anything that must happen.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+const TOKEN: &str = "a-long-operator-token";
+
+fn daemon(name: &str, platform: &Platform, seed: Option<SocketAddr>) -> Daemon {
+    let address = platform.address();
+    let mut settings = SettingsBuilder::new(name, "west", address, address)
+        .operator_token(TOKEN)
+        .traffic_threads(1);
+    if let Some(seed) = seed {
+        settings = settings.seed(seed);
+    }
+    Daemon::start(settings.build()).expect("loopback has ports")
+}
+
+fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn revision(daemon: &Daemon) -> u64 {
+    daemon.instance().view.load().revision
+}
+
+fn configure(daemon: &Daemon) -> u64 {
+    let text = questionnaire::template();
+    let configuration = questionnaire::generate(text).expect("the template is whole");
+    let record = Record::Configuration {
+        base_revision: 0,
+        text: text.into(),
+        configuration: configuration.into(),
+    };
+    let control = daemon.instance().control().expect("the daemon has started");
+    block_on(control.submit(record)).expect("nobody else changes the configuration")
+}
+
+#[test]
+fn a_configuration_outlives_its_record_and_all_instances_that_read_it() {
+    let host = Host::start().expect("the machine gives a thread");
+    let platform = PlatformSettings::default().retention_ms(RETENTION_MS);
+    let platform = platform.start(&host).expect("loopback has a port");
+    let first = daemon("n0", &platform, None);
+    let second = daemon("n1", &platform, Some(first.peer_address()));
+    let wanted = configure(&first);
+    let configured = Instant::now();
+    eventually("in force on both", || {
+        revision(&first) == wanted && revision(&second) == wanted
+    });
+    let kept = Duration::from_millis(RETENTION_MS + 1_000);
+    std::thread::sleep(kept.saturating_sub(configured.elapsed()));
+    first.kill();
+    second.kill();
+    let third = daemon("n2", &platform, None);
+    eventually("restored", || revision(&third) == wanted);
+    let view = third.instance().view.load();
+    assert!(view.configuration.service("drafting").is_some());
+    assert_eq!(third.instance().metrics.counted("snapshot.installed"), 1);
+    assert_eq!(third.instance().metrics.counted("log.state_lost"), 0);
+    third.kill();
+}
