Acknowledge a withdrawal without the log only once a majority denies the key

An operator could be told that a key is withdrawn by an instance that reached nobody while the log was away; the other instances, fresh by their majority, went on honouring the key for as long as the outage and the cut lasted. Random failures over four to six instances found it (seeds 1 to 12 of tests/control/faults.rs, with four keys granted first). The withdrawal is now acknowledged when more than half of the members deny the key, else it is told as not confirmed. A majority that keeps an instance fresh has a member in common with those, from which the instance learns the denial.

--- a/flamingoscale/src/log/actor.rs
+++ b/flamingoscale/src/log/actor.rs
@@ -229,13 +229,27 @@
                 let _ = answer.send(result);
             }
             Waiter::Withdraw(key_id, answer) => {
-                // Refused: another withdrawal of the same key is in the log already.
-                let durable = matches!(result, Ok(_) | Err(SubmitError::Refused { .. }));
-                let _ = answer.send(Ok(WithdrawnKey { key_id, durable }));
+                let _ = answer.send(self.withdrawn(key_id, result));
             }
         }
     }
 
+    /// What an operator is told of a withdrawal. Without the log it counts only once more than
+    /// half of the members deny the key: whoever stays fresh by a majority hears of it from them.
+    fn withdrawn(
+        &self,
+        key_id: Arc<str>,
+        result: Result<u64, SubmitError>,
+    ) -> Result<WithdrawnKey, SubmitError> {
+        // Refused: another withdrawal of the same key is in the log already.
+        let durable = matches!(result, Ok(_) | Err(SubmitError::Refused { .. }));
+        let takers = self.denials.takers(&key_id).into_iter().flatten();
+        if durable || self.freshness.is_majority(takers) {
+            return Ok(WithdrawnKey { key_id, durable });
+        }
+        Err(SubmitError::Unknown)
+    }
+
     fn append_next(&mut self, actor: &mut Context<Self>) {
         let now_ms = self.instance().now_ms();
         let members = self.members().len();
--- a/flamingoscale/src/log/denials.rs
+++ b/flamingoscale/src/log/denials.rs
@@ -123,6 +123,11 @@
         }
     }
 
+    /// Members that have taken a denial.
+    pub(crate) fn takers(&self, key_id: &str) -> Option<&BTreeSet<Arc<str>>> {
+        self.denials.get(key_id).map(|denial| &denial.taken_by)
+    }
+
     /// Withdraws the denied keys in a table that is about to be published.
     pub(crate) fn apply(&self, keys: &mut Arc<KeyTable>) {
         for key_id in self.denials.keys() {
--- a/flamingoscale/src/log/freshness.rs
+++ b/flamingoscale/src/log/freshness.rs
@@ -124,17 +124,24 @@
 
     /// Counts those that found the log away; who did not look has no vote.
     fn count(&mut self, asked_ms: u64, answers: &[(Arc<str>, Standing)]) {
-        let others = answers.iter().filter(|(peer, standing)| {
-            let is_member = *peer != self.instance && self.electorate.contains(peer);
-            is_member && standing.sight == Sight::Away
-        });
-        let agreeing = 1 + others.count();
-        self.electorate.insert(self.instance.clone());
-        if 2 * agreeing > self.electorate.len() {
+        let votes = answers
+            .iter()
+            .filter(|(_, standing)| standing.sight == Sight::Away);
+        if self.is_majority(votes.map(|(peer, _)| peer)) {
             self.extend(asked_ms + FRESH_MS);
         }
     }
 
+    /// Whether these peers are, with this instance, more than half of the members. Two majorities
+    /// have a member in common.
+    pub(crate) fn is_majority<'a>(&self, peers: impl Iterator<Item = &'a Arc<str>>) -> bool {
+        let others =
+            peers.filter(|peer| **peer != self.instance && self.electorate.contains(*peer));
+        let is_listed = self.electorate.contains(&self.instance);
+        let members = self.electorate.len() + usize::from(!is_listed);
+        2 * (1 + others.count()) > members
+    }
+
     fn extend(&mut self, until_ms: u64) {
         self.is_established = true;
         self.fresh_until_ms = self.fresh_until_ms.max(until_ms);
--- /dev/null
+++ b/flamingoscale/tests/control/fakes.rs
@@ -0,0 +1,396 @@
+//! A log, a network and instances in memory.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use bytes::Bytes;
+use flamingoscale::{
+    clock::{
+        BootClock,
+        Clock,
+        ManualClock, //
+    },
+    configuration::Configuration,
+    control::{
+        self,
+        ControlHandle, //
+    },
+    controller::Platform,
+    instance::{
+        Control,
+        Instance, //
+    },
+    keys,
+    log::LogController,
+    peer::{
+        PeerError,
+        PeerHandler,
+        PeerRequest,
+        PeerStream,
+        Peers, //
+    },
+    platform::{
+        EndpointOrders,
+        InstanceList,
+        Log,
+        LogRead,
+        LogRecord,
+        PlatformError,
+        Result as PlatformResult,
+        UsageReports, //
+    },
+    record::Record,
+    settings::SettingsBuilder,
+    view::Member,
+    wire::{
+        ListedInstance,
+        PlatformEndpoint,
+        PlatformOrder,
+        PlatformOrderDone,
+        UsageReport, //
+    }, //
+};
+use futures::{
+    future::LocalBoxFuture,
+    FutureExt, //
+};
+use rand::SeedableRng;
+
+/// Longest wait for anything that must happen.
+pub(crate) const PATIENCE_MS: u64 = 30_000;
+
+#[derive(Default)]
+pub(crate) struct LogInner {
+    pub(crate) records: Vec<Bytes>,
+    pub(crate) earliest: u64,
+    pub(crate) is_away: bool,
+    /// Appends whose answer is lost after they took effect.
+    pub(crate) lost_answers: u32,
+    /// Added to every call.
+    pub(crate) delay_ms: u64,
+    /// Calls under way stay without an answer for ever; later ones work.
+    pub(crate) silenced: u64,
+}
+
+/// The platform in memory.
+#[derive(Clone, Default)]
+pub(crate) struct FakePlatform(Arc<Mutex<LogInner>>);
+
+impl FakePlatform {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, LogInner> {
+        self.0.lock().unwrap_or_else(|error| error.into_inner())
+    }
+
+    pub(crate) fn set_away(&self, is_away: bool) {
+        self.lock().is_away = is_away;
+    }
+
+    pub(crate) fn read_now(&self, from: u64, max: usize) -> PlatformResult<LogRead> {
+        let inner = self.lock();
+        let head = inner.records.len() as u64;
+        if inner.is_away {
+            return Err(refused());
+        }
+        if from < inner.earliest {
+            let earliest = inner.earliest;
+            return Err(PlatformError::Truncated { earliest });
+        }
+        let wanted = from..head.min(from.saturating_add(max as u64));
+        let records = wanted.map(|offset| LogRecord {
+            offset,
+            data: inner.records[offset as usize].clone(),
+        });
+        Ok(LogRead {
+            records: records.collect(),
+            earliest: inner.earliest,
+            head,
+        })
+    }
+
+    pub(crate) fn append_now(&self, records: Vec<Bytes>) -> PlatformResult<u64> {
+        let mut inner = self.lock();
+        if inner.is_away {
+            return Err(refused());
+        }
+        let first = inner.records.len() as u64;
+        inner.records.extend(records);
+        if inner.lost_answers > 0 {
+            inner.lost_answers -= 1;
+            let reason = "lost".into();
+            return Err(PlatformError::Unknown { reason });
+        }
+        Ok(first)
+    }
+
+    /// Waits out the delay, and for ever if the call went silent meanwhile.
+    pub(crate) async fn answer(&self) {
+        let (delay_ms, silenced) = {
+            let inner = self.lock();
+            (inner.delay_ms, inner.silenced)
+        };
+        if delay_ms > 0 {
+            actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        if self.lock().silenced != silenced {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    pub(crate) fn platform(self) -> Platform {
+        let shared = Rc::new(self);
+        Platform {
+            log: shared.clone(),
+            instances: shared.clone(),
+            orders: shared.clone(),
+            usage: shared,
+        }
+    }
+}
+
+pub(crate) fn refused() -> PlatformError {
+    let reason = "away".into();
+    PlatformError::Refused { reason }
+}
+
+impl Log for FakePlatform {
+    fn append(&self, records: Vec<Bytes>) -> LocalBoxFuture<'_, PlatformResult<u64>> {
+        async move {
+            let result = self.append_now(records);
+            self.answer().await;
+            result
+        }
+        .boxed_local()
+    }
+
+    fn read(
+        &self,
+        from: u64,
+        max: usize,
+        wait_ms: u64,
+    ) -> LocalBoxFuture<'_, PlatformResult<LogRead>> {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        async move {
+            self.answer().await;
+            let silenced = self.lock().silenced;
+            loop {
+                if self.lock().silenced != silenced {
+                    std::future::pending::<()>().await;
+                }
+                let read = self.read_now(from, max)?;
+                if !read.records.is_empty() || Instant::now() >= until {
+                    return Ok(read);
+                }
+                actix_rt::time::sleep(Duration::from_millis(5)).await;
+            }
+        }
+        .boxed_local()
+    }
+}
+
+impl InstanceList for FakePlatform {
+    fn list(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<ListedInstance>>> {
+        async { Err(refused()) }.boxed_local()
+    }
+}
+
+impl EndpointOrders for FakePlatform {
+    fn endpoints(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<PlatformEndpoint>>> {
+        async { Err(refused()) }.boxed_local()
+    }
+
+    fn order(
+        &self,
+        _order: PlatformOrder,
+    ) -> LocalBoxFuture<'_, PlatformResult<PlatformOrderDone>> {
+        async { Err(refused()) }.boxed_local()
+    }
+}
+
+impl UsageReports for FakePlatform {
+    fn report(&self, _report: UsageReport) -> LocalBoxFuture<'_, PlatformResult<()>> {
+        async { Err(refused()) }.boxed_local()
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct NetworkInner {
+    handlers: BTreeMap<Arc<str>, Arc<dyn PeerHandler>>,
+    pub(crate) cut: Vec<Arc<str>>,
+}
+
+/// Peers that reach each other in memory, unless one of them is cut off.
+#[derive(Clone, Default)]
+pub(crate) struct FakeNetwork(Arc<Mutex<NetworkInner>>);
+
+impl FakeNetwork {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, NetworkInner> {
+        self.0.lock().unwrap_or_else(|error| error.into_inner())
+    }
+
+    pub(crate) fn cut(&self, instance: &Arc<str>) {
+        self.lock().cut.push(instance.clone());
+    }
+}
+
+pub(crate) struct FakePeers {
+    network: FakeNetwork,
+    own: Arc<str>,
+}
+
+impl Peers for FakePeers {
+    fn open(&self, peer: &Arc<str>, _address: &Arc<str>, request: PeerRequest) -> PeerStream {
+        let (sender, stream) = PeerStream::channel();
+        let (reply, mut replies) = tokio::sync::mpsc::channel(32);
+        let inner = self.network.lock();
+        let is_cut = inner.cut.contains(peer) || inner.cut.contains(&self.own);
+        let handler = inner.handlers.get(peer).filter(|_| !is_cut).cloned();
+        drop(inner);
+        let (own, peer) = (self.own.clone(), peer.clone());
+        actix_rt::spawn(async move {
+            let Some(handler) = handler else {
+                let reason = "cut off".into();
+                let _ = sender.send(Err(PeerError::NotSent { peer, reason })).await;
+                return;
+            };
+            handler.handle(own, request, reply);
+            while let Some(message) = replies.recv().await {
+                if sender.send(Ok(message)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        stream
+    }
+}
+
+pub(crate) struct Node {
+    pub(crate) instance: Arc<Instance>,
+    pub(crate) control: Arc<dyn Control>,
+    handle: ControlHandle,
+}
+
+impl Node {
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.instance.view.is_fresh(self.instance.now_ms())
+    }
+
+    pub(crate) fn is_in_force(&self, key_id: &str) -> bool {
+        self.instance.view.load().keys.is_in_force(key_id)
+    }
+}
+
+/// Several instances, their log and their network.
+#[derive(Default)]
+pub(crate) struct Cluster {
+    pub(crate) platform: FakePlatform,
+    pub(crate) network: FakeNetwork,
+    pub(crate) nodes: Vec<Node>,
+    /// A clock to move by hand; none for the machine's.
+    pub(crate) clock: Option<ManualClock>,
+}
+
+impl Cluster {
+    pub(crate) async fn start(count: usize) -> Self {
+        let mut cluster = Self::default();
+        for _ in 0..count {
+            cluster.add();
+        }
+        cluster
+    }
+
+    pub(crate) fn add(&mut self) {
+        let name = format!("n{}", self.nodes.len());
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let settings = SettingsBuilder::new(name, "saiq", address, address).build();
+        let incarnation = 100 + self.nodes.len() as u64;
+        let clock: Arc<dyn Clock> = match &self.clock {
+            Some(clock) => Arc::new(clock.clone()),
+            None => Arc::new(BootClock),
+        };
+        let instance = Arc::new(Instance::new(settings, incarnation, clock));
+        let (log, handler, control) = LogController::new(instance.clone());
+        let id = instance.id().clone();
+        self.network.lock().handlers.insert(id.clone(), handler);
+        instance.set_peers(Arc::new(FakePeers {
+            network: self.network.clone(),
+            own: id,
+        }));
+        let platform = self.platform.clone();
+        let handle = control::start_on(instance.clone(), log, Vec::new(), || platform.platform());
+        self.nodes.push(Node {
+            instance,
+            control,
+            handle: handle.expect("the test runs in a system"),
+        });
+        self.publish_members();
+    }
+
+    pub(crate) fn publish_members(&self) {
+        let member = |node: &Node| Member {
+            instance: node.instance.id().clone(),
+            incarnation: node.instance.incarnation,
+            failure_domain: "saiq".into(),
+            address: "127.0.0.1:1".into(),
+            peer_address: "127.0.0.1:2".into(),
+            leaving: false,
+            suspect: false,
+            revision: 0,
+        };
+        let members: Vec<Member> = self.nodes.iter().map(member).collect();
+        for node in &self.nodes {
+            node.instance.publish_members(members.clone());
+        }
+    }
+
+    pub(crate) async fn all(&self, what: &str, holds: impl Fn(&Node) -> bool) {
+        eventually(what, || self.nodes.iter().all(&holds)).await;
+    }
+
+    pub(crate) async fn grant(&self, node: usize) -> Arc<str> {
+        let mut random = rand::rngs::StdRng::seed_from_u64(node as u64);
+        let (_, entry) = keys::generate("lodges".into(), &mut random);
+        let record = Record::KeyGranted {
+            key_id: entry.key_id.clone(),
+            digest: entry.digest,
+            organisation: entry.organisation,
+        };
+        let granted = self.nodes[node].control.submit(record).await;
+        granted.expect("the log is there");
+        entry.key_id
+    }
+
+    pub(crate) fn stop(self) {
+        for node in self.nodes {
+            node.handle.stop();
+        }
+    }
+}
+
+pub(crate) async fn eventually(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        let waited = start.elapsed();
+        assert!(waited < Duration::from_millis(PATIENCE_MS), "never: {what}");
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+pub(crate) fn configuration(base_revision: u64, text: &str) -> Record {
+    Record::Configuration {
+        base_revision,
+        text: text.into(),
+        configuration: Arc::new(Configuration::default()),
+    }
+}
--- /dev/null
+++ b/flamingoscale/tests/control/faults.rs
@@ -0,0 +1,240 @@
+//! Random failures one upon another, under fixed seeds: what must hold meanwhile and in the end.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    sync::Arc,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flamingoscale::record::Record;
+use futures::future::join_all;
+use rand::{
+    rngs::StdRng,
+    RngExt as _,
+    SeedableRng, //
+};
+
+use crate::fakes::{
+    configuration,
+    eventually,
+    Cluster,
+    Node, //
+};
+
+const SEEDS: std::ops::Range<u64> = 1..13;
+
+const STEPS: usize = 50;
+
+/// Longest time of one step.
+const STEP_MS: u64 = 600;
+
+/// Keys that are granted before anything fails.
+const FIRST_KEYS: usize = 4;
+
+const INSTANCES: usize = 4;
+
+const MOST_INSTANCES: usize = 6;
+
+/// After this time no instance that counts as fresh honours a withdrawn key.
+const WITHDRAWAL: Duration = Duration::from_millis(5_000);
+
+/// What operators were told.
+#[derive(Default)]
+struct Told {
+    granted: Vec<Arc<str>>,
+    /// Keys whose withdrawal was acknowledged, and when.
+    withdrawn: BTreeMap<Arc<str>, Instant>,
+    /// Keys that somebody tried to withdraw, whatever the answer.
+    doubtful: Vec<Arc<str>>,
+    revisions: Vec<u64>,
+}
+
+struct Run {
+    cluster: Cluster,
+    random: StdRng,
+    told: Rc<RefCell<Told>>,
+    revisions: BTreeMap<Arc<str>, u64>,
+    next_key: u64,
+}
+
+impl Run {
+    async fn new(seed: u64) -> Self {
+        Self {
+            cluster: Cluster::start(INSTANCES).await,
+            random: StdRng::seed_from_u64(seed),
+            told: Rc::default(),
+            revisions: BTreeMap::new(),
+            next_key: 0,
+        }
+    }
+
+    async fn run(mut self) {
+        for _ in 0..FIRST_KEYS {
+            self.grant();
+        }
+        let told = self.told.clone();
+        eventually("the first keys", || {
+            told.borrow().granted.len() == FIRST_KEYS
+        })
+        .await;
+        for _ in 0..STEPS {
+            self.step();
+            let pause_ms = self.random.random_range(20..STEP_MS);
+            actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
+            self.check();
+        }
+        self.heal();
+        self.settle().await;
+        self.cluster.stop();
+    }
+
+    fn step(&mut self) {
+        // Outages and cuts last for several seconds on average, or else nothing would run out.
+        match self.random.random_range(0..20) {
+            0..=2 => self.cluster.platform.set_away(true),
+            3 => self.cluster.platform.set_away(false),
+            4 => self.cluster.platform.lock().lost_answers += 2,
+            5 => self.cluster.platform.lock().delay_ms = 400,
+            6 => self.cluster.platform.lock().delay_ms = 0,
+            7 => self.cluster.platform.lock().silenced += 1,
+            8 | 9 => self.cut(),
+            10 => self.cluster.network.lock().cut.clear(),
+            11 => self.add(),
+            12..=14 => self.grant(),
+            15..=17 => self.withdraw(),
+            _ => self.configure(),
+        }
+    }
+
+    fn node(&mut self) -> usize {
+        self.random.random_range(0..self.cluster.nodes.len())
+    }
+
+    fn cut(&mut self) {
+        let node = self.node();
+        let id = self.cluster.nodes[node].instance.id().clone();
+        self.cluster.network.cut(&id);
+    }
+
+    fn add(&mut self) {
+        if self.cluster.nodes.len() < MOST_INSTANCES {
+            self.cluster.add();
+        }
+    }
+
+    fn grant(&mut self) {
+        let node = self.node();
+        self.next_key += 1;
+        let key_id: Arc<str> = format!("fk-{}", self.next_key).into();
+        let record = Record::KeyGranted {
+            key_id: key_id.clone(),
+            digest: [0; 32],
+            organisation: "lodges".into(),
+        };
+        let submitted = self.cluster.nodes[node].control.submit(record);
+        let told = self.told.clone();
+        actix_rt::spawn(async move {
+            if submitted.await.is_ok() {
+                told.borrow_mut().granted.push(key_id);
+            }
+        });
+    }
+
+    fn withdraw(&mut self) {
+        let node = self.node();
+        let granted = self.told.borrow().granted.clone();
+        if granted.is_empty() {
+            return self.grant();
+        }
+        let key_id = granted[self.random.random_range(0..granted.len())].clone();
+        self.told.borrow_mut().doubtful.push(key_id.clone());
+        let withdrawn = self.cluster.nodes[node]
+            .control
+            .withdraw_key(key_id.clone());
+        let told = self.told.clone();
+        actix_rt::spawn(async move {
+            if withdrawn.await.is_ok() {
+                let mut told = told.borrow_mut();
+                told.withdrawn.entry(key_id).or_insert_with(Instant::now);
+            }
+        });
+    }
+
+    fn configure(&mut self) {
+        let node = self.node();
+        let node = &self.cluster.nodes[node];
+        let base_revision = node.instance.view.load().revision;
+        let submitted = node.control.submit(configuration(base_revision, "text"));
+        let told = self.told.clone();
+        actix_rt::spawn(async move {
+            if let Ok(revision) = submitted.await {
+                told.borrow_mut().revisions.push(revision);
+            }
+        });
+    }
+
+    /// What holds at any time: no revision goes back, and no fresh instance honours a key that
+    /// was withdrawn some seconds ago.
+    fn check(&mut self) {
+        let told = self.told.borrow();
+        for node in &self.cluster.nodes {
+            let revision = node.instance.view.load().revision;
+            let id = node.instance.id().clone();
+            let before = self.revisions.insert(id.clone(), revision);
+            assert!(before <= Some(revision), "{id} went back to {revision}");
+            for (key_id, since) in &told.withdrawn {
+                let is_late = since.elapsed() > WITHDRAWAL && node.is_fresh();
+                assert!(
+                    !is_late || !node.is_in_force(key_id),
+                    "{id} honours {key_id}"
+                );
+            }
+        }
+    }
+
+    fn heal(&mut self) {
+        self.cluster.network.lock().cut.clear();
+        let mut log = self.cluster.platform.lock();
+        log.is_away = false;
+        log.delay_ms = 0;
+    }
+
+    /// What holds once everything works again: all agree, and all that was told is so.
+    async fn settle(&self) {
+        // Submissions that are under way are told within this time.
+        actix_rt::time::sleep(Duration::from_millis(4_500)).await;
+        let nodes = &self.cluster.nodes;
+        let is_settled = |node: &Node| {
+            let told = self.told.borrow();
+            let (own, first) = (node.instance.view.load(), nodes[0].instance.view.load());
+            let withdrawn = told
+                .withdrawn
+                .keys()
+                .all(|key_id| !node.is_in_force(key_id));
+            let mut kept = told.granted.iter();
+            let kept =
+                kept.all(|key_id| told.doubtful.contains(key_id) || node.is_in_force(key_id));
+            let is_same = own.folded == first.folded && own.revision == first.revision;
+            node.is_fresh() && withdrawn && kept && is_same && own.keys == first.keys
+        };
+        eventually("all agree", || nodes.iter().all(is_settled)).await;
+        let newest = nodes[0].instance.view.load().revision;
+        let mut revisions = self.told.borrow().revisions.clone();
+        assert!(revisions.iter().all(|revision| *revision <= newest));
+        revisions.sort_unstable();
+        let told = revisions.len();
+        revisions.dedup();
+        assert_eq!(revisions.len(), told, "one revision, two winners");
+    }
+}
+
+#[actix_rt::test]
+async fn promises_hold_under_random_failures() {
+    let runs = SEEDS.map(|seed| async move { Run::new(seed).await.run().await });
+    join_all(runs).await;
+}
