--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -5,12 +5,14 @@
 
 mod capacity;
 mod fairness;
+mod faults;
 mod gateway;
 mod lease;
 mod load;
 mod membership;
 mod orders;
 mod output;
+mod peers;
 mod process;
 mod report;
 mod routing;
@@ -68,6 +70,12 @@
             "the worst-served organisation while another floods, against first come, first served",
         run: fairness::run,
     },
+    Experiment {
+        name: "faults",
+        about:
+            "promised answers under crashes, losses and silence, against calls without the system",
+        run: faults::run,
+    },
     Experiment {
         name: "gateway",
         about: "added latency and requests a second of one node, against a direct call",
@@ -78,6 +86,11 @@
         about: "what control costs a node against nodes, endpoints and changes",
         run: capacity::run,
     },
+    Experiment {
+        name: "peers",
+        about: "a call to a peer over h2 and bincode, against HTTP/1.1 and JSON",
+        run: peers::run,
+    },
     Experiment {
         name: "report",
         about: "gathers docs/measurements/*.jsonl into a table and plots",
