--- a/flamingoscale/src/log/freshness.rs
+++ b/flamingoscale/src/log/freshness.rs
@@ -5,7 +5,7 @@
 //! know of no later record. See `docs/design/freshness.md`.
 
 use std::{
-    collections::BTreeSet,
+    collections::BTreeMap,
     sync::Arc, //
 };
 
@@ -21,6 +21,9 @@
 /// within the tolerance for withdrawn keys.
 pub(crate) const FRESH_MS: u64 = 4_000;
 
+/// How long a member that vanished without leaving still counts while the log can be read.
+const VANISHED_MS: u64 = 600_000;
+
 /// How long the outcome of a read tells something about the log.
 const SIGHT_MS: u64 = 5_000;
 
@@ -31,9 +34,10 @@
     fresh_until_ms: u64,
     /// What the last read of the log came to, and when.
     sight: (Sight, u64),
-    /// Members since the log was last confirmed. One that vanished without leaving still counts,
-    /// or else an isolated instance would soon be a majority of one.
-    electorate: BTreeSet<Arc<str>>,
+    /// Members with the time when they were last there. One that vanished without leaving counts
+    /// for a while, also when the log is confirmed meanwhile: or else an instance that lost its
+    /// peers first and the log later would be a majority of one.
+    electorate: BTreeMap<Arc<str>, u64>,
     /// Whether the instance was ever fresh; a new one can't tell what it missed.
     is_established: bool,
 }
@@ -44,7 +48,7 @@
             instance,
             fresh_until_ms: 0,
             sight: (Sight::Untried, 0),
-            electorate: BTreeSet::new(),
+            electorate: BTreeMap::new(),
             is_established: false,
         }
     }
@@ -60,34 +64,43 @@
         (left_ms > 0).then_some(left_ms)
     }
 
-    /// What this instance's own last read of the log came to, if that was a short time ago.
+    /// What this instance's own last read of the log came to, if that was a short time ago. A new
+    /// instance that finds the log away has no vote, as it can't tell what it missed.
     pub(crate) fn sight(&self, now_ms: u64) -> Sight {
         let (sight, seen_ms) = self.sight;
-        if now_ms < seen_ms + SIGHT_MS {
-            sight
-        } else {
+        let is_old = now_ms >= seen_ms + SIGHT_MS;
+        let is_blind = sight == Sight::Away && !self.is_established;
+        if is_old || is_blind {
             Sight::Untried
+        } else {
+            sight
         }
     }
 
     /// Takes in who is a member now.
-    pub(crate) fn members(&mut self, members: &[Member]) {
+    pub(crate) fn members(&mut self, now_ms: u64, members: &[Member]) {
         for member in members {
             if member.leaving {
                 self.electorate.remove(&member.instance);
             } else {
-                self.electorate.insert(member.instance.clone());
+                self.electorate.insert(member.instance.clone(), now_ms);
             }
         }
     }
 
     /// The log was read to its head by a read that began at `asked_ms`.
     pub(crate) fn confirmed(&mut self, asked_ms: u64, members: &[Member]) {
-        self.electorate.clear();
-        self.members(members);
+        self.forget_vanished(asked_ms, members);
         self.extend(asked_ms + FRESH_MS);
     }
 
+    /// Drops members that vanished long ago, while the log can be read here or at the relay.
+    pub(crate) fn forget_vanished(&mut self, now_ms: u64, members: &[Member]) {
+        self.electorate
+            .retain(|_, seen_ms| now_ms < *seen_ms + VANISHED_MS);
+        self.members(now_ms, members);
+    }
+
     /// The log could be read, though not yet to its head.
     pub(crate) fn reached(&mut self, now_ms: u64) {
         self.sight = (Sight::Reached, now_ms);
@@ -133,13 +146,15 @@
     }
 
     /// Whether these peers are, with this instance, more than half of the members. Two majorities
-    /// have a member in common.
+    /// have a member in common. An instance alone is never one, for it may be one that has not met
+    /// the others yet.
     pub(crate) fn is_majority<'a>(&self, peers: impl Iterator<Item = &'a Arc<str>>) -> bool {
         let others =
-            peers.filter(|peer| **peer != self.instance && self.electorate.contains(*peer));
-        let is_listed = self.electorate.contains(&self.instance);
+            peers.filter(|peer| **peer != self.instance && self.electorate.contains_key(*peer));
+        let is_listed = self.electorate.contains_key(&self.instance);
         let members = self.electorate.len() + usize::from(!is_listed);
-        2 * (1 + others.count()) > members
+        let agreeing = 1 + others.count();
+        agreeing > 1 && 2 * agreeing > members
     }
 
     fn extend(&mut self, until_ms: u64) {
@@ -193,11 +208,43 @@
     fn an_isolated_instance_stops_being_fresh() {
         let mut freshness = cut_off();
         // Membership has given the others up; they still count.
-        freshness.members(&members(1));
+        freshness.members(2_000, &members(1));
         freshness.peers(2_000, 10, &[]);
         assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
     }
 
+    /// Found by fuzzing: those who had read a withdrawal were replaced, and the new ones agreed
+    /// with an instance that had missed it.
+    #[test]
+    fn a_new_instance_has_no_vote() {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.failed(1_000);
+        assert_eq!(freshness.sight(1_100), Sight::Untried);
+        freshness.reached(1_200);
+        assert_eq!(freshness.sight(1_300), Sight::Reached);
+    }
+
+    /// Found by fuzzing: the peers were cut off first, and the log was confirmed without them.
+    #[test]
+    fn an_instance_that_lost_its_peers_before_the_log_is_no_majority() {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.confirmed(1_000, &members(3));
+        freshness.confirmed(20_000, &members(1));
+        freshness.failed(21_000);
+        freshness.peers(21_000, 10, &[]);
+        assert_eq!(freshness.fresh_until_ms(), 20_000 + FRESH_MS);
+    }
+
+    #[test]
+    fn a_member_that_vanished_long_ago_does_not_count() {
+        let mut freshness = Freshness::new("n0".into());
+        freshness.confirmed(1_000, &members(5));
+        freshness.confirmed(1_000 + VANISHED_MS, &members(2));
+        freshness.failed(2_000 + VANISHED_MS);
+        freshness.peers(2_000 + VANISHED_MS, 10, &answers(1..2, 10));
+        assert_eq!(freshness.fresh_until_ms(), 2_000 + VANISHED_MS + FRESH_MS);
+    }
+
     #[test]
     fn a_majority_that_finds_the_log_away_stays_fresh() {
         let mut freshness = cut_off();
@@ -218,6 +265,16 @@
         assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
     }
 
+    #[test]
+    fn members_that_vanished_long_ago_are_forgotten_while_the_log_is_there() {
+        let mut freshness = cut_off();
+        let later_ms = 2_000 + VANISHED_MS;
+        freshness.forget_vanished(later_ms, &members(2));
+        freshness.failed(later_ms);
+        freshness.peers(later_ms, 10, &answers(1..2, 10));
+        assert_eq!(freshness.fresh_until_ms(), later_ms + FRESH_MS);
+    }
+
     #[test]
     fn who_did_not_look_has_no_vote() {
         let mut freshness = cut_off();
@@ -239,7 +296,7 @@
         for member in &mut leaving[2..] {
             member.leaving = true;
         }
-        freshness.members(&leaving);
+        freshness.members(2_000, &leaving);
         freshness.peers(2_000, 10, &answers(1..2, 10));
         assert_eq!(freshness.fresh_until_ms(), 2_000 + FRESH_MS);
     }
@@ -247,7 +304,7 @@
     #[test]
     fn a_new_instance_needs_a_peer_that_is_fresh() {
         let mut freshness = Freshness::new("n0".into());
-        freshness.members(&members(3));
+        freshness.members(100, &members(3));
         freshness.failed(100);
         freshness.peers(100, 0, &answers(1..3, 0));
         assert_eq!(freshness.fresh_until_ms(), 0);
--- a/flamingoscale/src/log/serve.rs
+++ b/flamingoscale/src/log/serve.rs
@@ -19,6 +19,7 @@
         freshness::FRESH_MS,
         Message,
         Reply,
+        Sight,
         Standing, //
     },
     peer::{
@@ -214,6 +215,10 @@
         let folded = self.folded();
         self.is_at_head = standing.folded <= folded && standing.fresh_for_ms.is_some();
         self.freshness.peer(asked_ms, folded, &standing);
+        if standing.sight == Sight::Reached {
+            let members = self.members();
+            self.freshness.forget_vanished(now_ms, &members);
+        }
     }
 
     /// Ends the search for a snapshot once the log has all that is missing here.
