--- a/flamingoscale/src/peer.rs
+++ b/flamingoscale/src/peer.rs
@@ -45,10 +45,11 @@
 const STREAM_REPLIES: usize = 32;
 
 /// Bytes of one stream that may be under way.
-const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 
-/// Bytes of one connection that may be under way.
-const CONNECTION_WINDOW_BYTES: u32 = 8 << 20;
+/// Bytes of one connection that may be under way: more than all streams of a connection are
+/// likely to hold up, so that slow readers of some never stop the others.
+const CONNECTION_WINDOW_BYTES: u32 = 1 << 30;
 
 /// Names the instance that a request is for.
 const TO_HEADER: &str = "flamingoscale-to";
@@ -101,6 +102,21 @@
     Orders(orders::Message),
 }
 
+impl PeerRequest {
+    /// The part of the system that it belongs to, for counting.
+    pub(crate) fn part(&self) -> &'static str {
+        match self {
+            PeerRequest::Membership(_) => "membership",
+            PeerRequest::Log(_) => "log",
+            PeerRequest::Dispatch(_) => "dispatch",
+            PeerRequest::Gateway(_) => "gateway",
+            PeerRequest::Rollout(_) => "rollout",
+            PeerRequest::Usage(_) => "usage",
+            PeerRequest::Orders(_) => "orders",
+        }
+    }
+}
+
 /// What a peer answers.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[non_exhaustive]
@@ -121,6 +137,21 @@
     Orders(orders::Reply),
 }
 
+impl PeerReply {
+    /// The part of the system that it belongs to, for counting.
+    pub(crate) fn part(&self) -> &'static str {
+        match self {
+            PeerReply::Membership(_) => "membership",
+            PeerReply::Log(_) => "log",
+            PeerReply::Dispatch(_) => "dispatch",
+            PeerReply::Gateway(_) => "gateway",
+            PeerReply::Rollout(_) => "rollout",
+            PeerReply::Usage(_) => "usage",
+            PeerReply::Orders(_) => "orders",
+        }
+    }
+}
+
 /// What travels in one direction of a stream, with the sender's time-line stamp.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Frame<T> {
