--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -15,10 +15,12 @@
 mod peers;
 mod process;
 mod report;
+mod rollout;
 mod routing;
 mod state;
 mod timeline;
 mod usage;
+mod weights;
 
 use std::process::ExitCode;
 
@@ -86,6 +88,16 @@
         about: "what control costs a node against nodes, endpoints and changes",
         run: capacity::run,
     },
+    Experiment {
+        name: "rollout",
+        about: "trainer idle time, staleness and waste, against synchronous steps",
+        run: rollout::run,
+    },
+    Experiment {
+        name: "weights",
+        about: "time for a version on all engines, against the store's limit and all at once",
+        run: weights::run,
+    },
     Experiment {
         name: "peers",
         about: "a call to a peer over h2 and bincode, against HTTP/1.1 and JSON",
