--- a/flamingoscale/src/log/freshness.rs
+++ b/flamingoscale/src/log/freshness.rs
@@ -90,12 +90,17 @@
 
     /// The log was read to its head by a read that began at `asked_ms`.
     pub(crate) fn confirmed(&mut self, asked_ms: u64, members: &[Member]) {
-        self.electorate
-            .retain(|_, seen_ms| asked_ms < *seen_ms + VANISHED_MS);
-        self.members(asked_ms, members);
+        self.forget_vanished(asked_ms, members);
         self.extend(asked_ms + FRESH_MS);
     }
 
+    /// Drops members that vanished long ago, while the log can be read here or at the relay.
+    pub(crate) fn forget_vanished(&mut self, now_ms: u64, members: &[Member]) {
+        self.electorate
+            .retain(|_, seen_ms| now_ms < *seen_ms + VANISHED_MS);
+        self.members(now_ms, members);
+    }
+
     /// The log could be read, though not yet to its head.
     pub(crate) fn reached(&mut self, now_ms: u64) {
         self.sight = (Sight::Reached, now_ms);
@@ -130,20 +135,28 @@
         }
     }
 
-    /// Counts those that found the log away; who did not look has no vote. An instance alone is
-    /// never a majority, for it may be one that has not met the others yet.
+    /// Counts those that found the log away; who did not look has no vote.
     fn count(&mut self, asked_ms: u64, answers: &[(Arc<str>, Standing)]) {
-        let others = answers.iter().filter(|(peer, standing)| {
-            let is_member = *peer != self.instance && self.electorate.contains_key(peer);
-            is_member && standing.sight == Sight::Away
-        });
-        let agreeing = 1 + others.count();
-        self.electorate.insert(self.instance.clone(), asked_ms);
-        if agreeing > 1 && 2 * agreeing > self.electorate.len() {
+        let votes = answers
+            .iter()
+            .filter(|(_, standing)| standing.sight == Sight::Away);
+        if self.is_majority(votes.map(|(peer, _)| peer)) {
             self.extend(asked_ms + FRESH_MS);
         }
     }
 
+    /// Whether these peers are, with this instance, more than half of the members. Two majorities
+    /// have a member in common. An instance alone is never one, for it may be one that has not met
+    /// the others yet.
+    pub(crate) fn is_majority<'a>(&self, peers: impl Iterator<Item = &'a Arc<str>>) -> bool {
+        let others =
+            peers.filter(|peer| **peer != self.instance && self.electorate.contains_key(*peer));
+        let is_listed = self.electorate.contains_key(&self.instance);
+        let members = self.electorate.len() + usize::from(!is_listed);
+        let agreeing = 1 + others.count();
+        agreeing > 1 && 2 * agreeing > members
+    }
+
     fn extend(&mut self, until_ms: u64) {
         self.is_established = true;
         self.fresh_until_ms = self.fresh_until_ms.max(until_ms);
@@ -252,6 +265,16 @@
         assert_eq!(freshness.fresh_until_ms(), 1_000 + FRESH_MS);
     }
 
+    #[test]
+    fn members_that_vanished_long_ago_are_forgotten_while_the_log_is_there() {
+        let mut freshness = cut_off();
+        let later_ms = 2_000 + VANISHED_MS;
+        freshness.forget_vanished(later_ms, &members(2));
+        freshness.failed(later_ms);
+        freshness.peers(later_ms, 10, &answers(1..2, 10));
+        assert_eq!(freshness.fresh_until_ms(), later_ms + FRESH_MS);
+    }
+
     #[test]
     fn who_did_not_look_has_no_vote() {
         let mut freshness = cut_off();
