Linger longer than callers keep addresses

A leaving instance closed its port 2 s after it began to leave, but callers keep its address for 5 s.

It now lingers 7 s: the address's 5 s and 2 s until no peer names it.

--- a/flamingoscale/src/daemon.rs
+++ b/flamingoscale/src/daemon.rs
@@ -53,7 +53,8 @@
     dispatch::Dispatcher,
     gateway::{
         self,
-        Gateway, //
+        Gateway,
+        ENTRIES_TTL_MS, //
     },
     home::Homes,
     instance::Instance,
@@ -74,8 +75,12 @@
 /// The result of starting an instance.
 pub type Result<T> = std::result::Result<T, DaemonError>;
 
-/// How long a leaving instance stays reachable for callers that still hold its address.
-const LINGER_MS: u64 = 2_000;
+/// How long the others may go on naming a leaving instance until they all know that it leaves.
+const NAMED_ON_MS: u64 = 2_000;
+
+/// How long a leaving instance stays reachable for callers that still hold its address. One that
+/// connects while the port closes could not tell whether its request ran.
+const LINGER_MS: u64 = NAMED_ON_MS + ENTRIES_TTL_MS;
 
 /// How often a leaving instance looks whether its work is through.
 const DRAIN_POLL_MS: u64 = 50;
--- a/flamingoscale/src/gateway.rs
+++ b/flamingoscale/src/gateway.rs
@@ -17,6 +17,8 @@
 mod route;
 mod stream;
 
+pub(crate) use entries::ENTRIES_TTL_MS;
+
 use std::sync::{
     Arc,
     Mutex, //
