Read the platform's list of instances at one rate by any number of members

Cause: every instance read the whole list every five seconds; 380 of them would make 76 calls a second and take about 9 KB/s each, by the size of a row. Change: beyond twelve members the interval grows with their number. Figures: by the unit test, 5 s up to 12 members and 158 s at 380, so 2.4 looks a second in all. Conclusion: a healed partition is still noticed by the first that looks, and gossip tells the rest.

--- a/flamingoscale/src/membership/actor.rs
+++ b/flamingoscale/src/membership/actor.rs
@@ -41,9 +41,13 @@
 /// Time between two looks at the core.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Time between two looks at the platform's list.
+/// Shortest time between two looks at the platform's list.
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Up to so many members, each looks at the shortest interval. Beyond, the looks of all together
+/// stay at this rate: what one learns from the list, the others hear by gossip.
+const LIST_READERS: usize = 12;
+
 /// Longest wait for any answer of a peer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -116,6 +120,12 @@
     }
 }
 
+/// Time until the next look at the platform's list among `members`.
+fn list_interval(members: usize) -> Duration {
+    let members = members.max(LIST_READERS) as u32;
+    LIST_INTERVAL * members / LIST_READERS as u32
+}
+
 struct MembershipActor {
     core: Membership,
     context: ControlContext,
@@ -129,7 +139,6 @@
         self.tick(context);
         context.run_interval(TICK, Self::tick);
         self.list(context);
-        context.run_interval(LIST_INTERVAL, Self::list);
     }
 }
 
@@ -180,6 +189,8 @@
             }
         });
         context.spawn(hinted);
+        let interval = list_interval(self.core.members().len());
+        context.run_later(interval, Self::list);
     }
 
     fn perform(&mut self, actions: Vec<Action>, context: &mut Context<Self>) {
@@ -267,3 +278,16 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_list_is_read_at_one_rate_by_any_number() {
+        assert_eq!(list_interval(1), LIST_INTERVAL);
+        assert_eq!(list_interval(12), LIST_INTERVAL);
+        assert_eq!(list_interval(24), 2 * LIST_INTERVAL);
+        assert_eq!(list_interval(380).as_secs(), 158);
+    }
+}
