--- a/flamingoscale/src/log.rs
+++ b/flamingoscale/src/log.rs
@@ -43,8 +43,10 @@
 mod follower;
 pub(crate) mod freshness;
 mod relays;
+mod scan;
 mod serve;
 mod snapshots;
+mod withdraw;
 
 /// What peers ask of each other about the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/flamingoscale/src/log/actor.rs
+++ b/flamingoscale/src/log/actor.rs
@@ -36,14 +36,11 @@
         denials::Denials,
         follower::{
             Follower,
-            ScanStep,
             Source, //
         },
         freshness::Freshness,
-        relays,
         serve::WaitingPull,
         snapshots::{
-            LogBounds,
             SnapshotPolicy,
             SnapshotWatch, //
         },
@@ -54,11 +51,7 @@
         PlatformError, //
     },
     record::Record,
-    state::{
-        snapshot,
-        Rejection,
-        SubmitError, //
-    },
+    state::SubmitError,
     view::Member,
     wire::WithdrawnKey, //
 };
@@ -67,10 +60,7 @@
 const TICK_MS: u64 = 25;
 
 /// How long a submission waits until it is read back.
-const SUBMIT_WAIT_MS: u64 = 4_000;
-
-/// How long an operator's withdrawal waits for the log before it is told as not yet durable.
-const WITHDRAW_WAIT_MS: u64 = 1_500;
+pub(super) const SUBMIT_WAIT_MS: u64 = 4_000;
 
 /// Most records of one read.
 const READ_RECORDS: usize = 512;
@@ -78,11 +68,8 @@
 /// After this time beyond what it asked the log to wait, a read counts as failed.
 const OVERDUE_MS: u64 = 1_000;
 
-/// Pause before a member that learnt of a denial appends it, for each turn.
-const DENIAL_TURN_MS: u64 = 1_000;
-
 /// Who waits for the end of a submission.
-enum Waiter {
+pub(super) enum Waiter {
     Submit(oneshot::Sender<Result<u64, SubmitError>>),
     Withdraw(Arc<str>, oneshot::Sender<Result<WithdrawnKey, SubmitError>>),
 }
@@ -204,7 +191,7 @@
         }
     }
 
-    fn submit(&mut self, record: Record, wait_ms: u64, waiter: Waiter) {
+    pub(super) fn submit(&mut self, record: Record, wait_ms: u64, waiter: Waiter) {
         let deadline_ms = self.instance().now_ms() + wait_ms;
         match self.appender.submit(record, deadline_ms) {
             Ok(ticket) => {
@@ -224,7 +211,7 @@
     }
 
     /// A waiter that has gone away needs no answer.
-    fn answer(&self, waiter: Waiter, result: Result<u64, SubmitError>) {
+    pub(super) fn answer(&self, waiter: Waiter, result: Result<u64, SubmitError>) {
         match waiter {
             Waiter::Submit(answer) => {
                 let _ = answer.send(result);
@@ -373,163 +360,6 @@
     }
 
     /// Records that are needed have left the log: a snapshot must make up for them.
-    fn truncated(&mut self, now_ms: u64, earliest: u64) {
-        if !self.follower.is_scanning() {
-            let timeline = &self.instance().timeline;
-            timeline.record("log.truncated", "", &[("earliest", &earliest)]);
-            self.instance().metrics.count("log.truncated");
-        }
-        self.earliest = earliest;
-        self.follower.log_read();
-        self.follower.truncated(now_ms, earliest);
-    }
-
-    fn scan_read(&mut self, from: u64, earliest: u64, head: u64, records: &[(u64, Bytes)]) {
-        self.scan(records);
-        let now_ms = self.instance().now_ms();
-        let next = from + records.len() as u64;
-        match self.follower.scanned(now_ms, next, earliest, head) {
-            ScanStep::More => {}
-            ScanStep::Found(state) => {
-                self.seen_snapshot(state.folded);
-                self.install(*state, "log");
-                self.end_scan_if_caught_up();
-            }
-            ScanStep::InVain => self.found_no_snapshot(earliest),
-        }
-    }
-
-    fn seen_snapshot(&mut self, upto: u64) {
-        let now_ms = self.instance().now_ms();
-        self.policy.seen(upto, now_ms);
-    }
-
-    /// Nobody knows the records that have left the log, so no accepted change was among them:
-    /// its submitter would have folded it. Goes on through the log itself, by a snapshot, so that
-    /// all instances go on from the same state.
-    fn found_no_snapshot(&mut self, earliest: u64) {
-        self.instance().metrics.count("log.state_lost");
-        let timeline = &self.instance().timeline;
-        timeline.record("log.state_lost", "", &[("earliest", &earliest)]);
-        let mut state = self.context.state.borrow().clone();
-        state.folded = state.folded.max(earliest);
-        let chunks = snapshot::chunks(&state);
-        self.submit_snapshot(chunks);
-    }
-
-    fn write_snapshot(&mut self, now_ms: u64) {
-        let members = self.members();
-        let bounds = LogBounds {
-            earliest: self.earliest,
-            folded: self.folded(),
-        };
-        let can_write = self.is_at_head && !self.follower.is_failing();
-        if !can_write || self.follower.is_scanning() {
-            return;
-        }
-        let id = self.instance().id().clone();
-        let turn = || relays::turn(0, &members, &id);
-        if self.policy.is_due(now_ms, bounds, turn) {
-            let chunks = snapshot::chunks(&self.context.state.borrow());
-            let (upto, count) = (bounds.folded, chunks.len());
-            let fields: [(&str, &dyn std::fmt::Display); 2] = [("upto", &upto), ("chunks", &count)];
-            self.instance()
-                .timeline
-                .record("snapshot.written", "", &fields);
-            self.submit_snapshot(chunks);
-        }
-    }
-
-    fn submit_snapshot(&mut self, chunks: Vec<snapshot::Chunk>) {
-        let deadline_ms = self.instance().now_ms() + SUBMIT_WAIT_MS;
-        for chunk in chunks {
-            // A chunk is well under the limit; a snapshot that can't be written is tried again.
-            let _ = self.appender.submit(chunk.into(), deadline_ms);
-        }
-    }
-
-    fn withdraw(
-        &mut self,
-        key_id: Arc<str>,
-        answer: oneshot::Sender<Result<WithdrawnKey, SubmitError>>,
-        actor: &mut Context<Self>,
-    ) {
-        let withdrawn = self
-            .context
-            .state
-            .borrow()
-            .keys
-            .get(&key_id)
-            .map(|entry| entry.withdrawn);
-        let waiter = Waiter::Withdraw(key_id.clone(), answer);
-        match withdrawn {
-            Some(false) => {}
-            Some(true) => return self.answer(waiter, Ok(0)),
-            None => return self.refuse_unknown(waiter),
-        }
-        let now_ms = self.instance().now_ms();
-        self.denials.add(&key_id, true, now_ms, WITHDRAW_WAIT_MS);
-        let timeline = &self.instance().timeline;
-        timeline.record("key.denied", "", &[("key_id", &key_id)]);
-        self.publish();
-        self.spread_denials(now_ms, actor);
-        self.submit(Record::KeyWithdrawn { key_id }, WITHDRAW_WAIT_MS, waiter);
-    }
-
-    fn refuse_unknown(&self, waiter: Waiter) {
-        if let Waiter::Withdraw(_, answer) = waiter {
-            let reason = Rejection::Unknown;
-            let _ = answer.send(Err(SubmitError::Refused { reason }));
-        }
-    }
-
-    /// Takes denials that a peer knows of.
-    pub(crate) fn learn_denials(&mut self, denied: &[Arc<str>]) {
-        let members = self.members();
-        let id = self.instance().id().clone();
-        let now_ms = self.instance().now_ms();
-        let mut is_new = false;
-        for key_id in denied {
-            let keys = self.context.state.borrow().keys.clone();
-            if keys.get(key_id).is_some_and(|entry| entry.withdrawn) {
-                continue;
-            }
-            let key = xxhash_rust::xxh3::xxh3_64(key_id.as_bytes());
-            // Those that are no relays come after all that may be.
-            let turn = relays::turn(key, &members, &id).unwrap_or(members.len());
-            let turn = 1 + turn as u64;
-            let added = self
-                .denials
-                .add(key_id, false, now_ms, turn * DENIAL_TURN_MS);
-            if added {
-                let timeline = &self.instance().timeline;
-                timeline.record("key.denied", "", &[("key_id", key_id)]);
-            }
-            is_new |= added;
-        }
-        if is_new {
-            self.publish();
-        }
-    }
-
-    /// Appends the withdrawals that the log does not hold yet, whoever took them from operators.
-    fn append_denials(&mut self, now_ms: u64) {
-        if self.follower.is_failing() || !self.is_at_head {
-            return;
-        }
-        for key_id in self.denials.due_appends(now_ms) {
-            // The withdrawal of a key that isn't granted yet would have no effect.
-            if self.context.state.borrow().keys.get(&key_id).is_none() {
-                continue;
-            }
-            let deadline_ms = now_ms + SUBMIT_WAIT_MS;
-            // Nobody waits for it: it's tried again until the fold has it.
-            let _ = self
-                .appender
-                .submit(Record::KeyWithdrawn { key_id }, deadline_ms);
-        }
-    }
-
     /// Says until when traffic may serve keyed requests.
     pub(crate) fn publish_freshness(&mut self, now_ms: u64) {
         let until_ms = self.freshness.fresh_until_ms();
--- /dev/null
+++ b/flamingoscale/src/log/scan.rs
@@ -0,0 +1,99 @@
+//! Snapshots on the way in and out: the search for one past retention, and writing.
+
+use bytes::Bytes;
+
+use crate::{
+    log::{
+        actor::{
+            LogActor,
+            SUBMIT_WAIT_MS, //
+        },
+        follower::ScanStep,
+        relays,
+        snapshots::LogBounds, //
+    },
+    state::snapshot, //
+};
+
+impl LogActor {
+    pub(super) fn truncated(&mut self, now_ms: u64, earliest: u64) {
+        if !self.follower.is_scanning() {
+            let timeline = &self.instance().timeline;
+            timeline.record("log.truncated", "", &[("earliest", &earliest)]);
+            self.instance().metrics.count("log.truncated");
+        }
+        self.earliest = earliest;
+        self.follower.log_read();
+        self.follower.truncated(now_ms, earliest);
+    }
+
+    pub(super) fn scan_read(
+        &mut self,
+        from: u64,
+        earliest: u64,
+        head: u64,
+        records: &[(u64, Bytes)],
+    ) {
+        self.scan(records);
+        let now_ms = self.instance().now_ms();
+        let next = from + records.len() as u64;
+        match self.follower.scanned(now_ms, next, earliest, head) {
+            ScanStep::More => {}
+            ScanStep::Found(state) => {
+                self.seen_snapshot(state.folded);
+                self.install(*state, "log");
+                self.end_scan_if_caught_up();
+            }
+            ScanStep::InVain => self.found_no_snapshot(earliest),
+        }
+    }
+
+    fn seen_snapshot(&mut self, upto: u64) {
+        let now_ms = self.instance().now_ms();
+        self.policy.seen(upto, now_ms);
+    }
+
+    /// Nobody knows the records that have left the log, so no accepted change was among them:
+    /// its submitter would have folded it. Goes on through the log itself, by a snapshot, so that
+    /// all instances go on from the same state.
+    fn found_no_snapshot(&mut self, earliest: u64) {
+        self.instance().metrics.count("log.state_lost");
+        let timeline = &self.instance().timeline;
+        timeline.record("log.state_lost", "", &[("earliest", &earliest)]);
+        let mut state = self.context.state.borrow().clone();
+        state.folded = state.folded.max(earliest);
+        let chunks = snapshot::chunks(&state);
+        self.submit_snapshot(chunks);
+    }
+
+    pub(super) fn write_snapshot(&mut self, now_ms: u64) {
+        let members = self.members();
+        let bounds = LogBounds {
+            earliest: self.earliest,
+            folded: self.folded(),
+        };
+        let can_write = self.is_at_head && !self.follower.is_failing();
+        if !can_write || self.follower.is_scanning() {
+            return;
+        }
+        let id = self.instance().id().clone();
+        let turn = || relays::turn(0, &members, &id);
+        if self.policy.is_due(now_ms, bounds, turn) {
+            let chunks = snapshot::chunks(&self.context.state.borrow());
+            let (upto, count) = (bounds.folded, chunks.len());
+            let fields: [(&str, &dyn std::fmt::Display); 2] = [("upto", &upto), ("chunks", &count)];
+            self.instance()
+                .timeline
+                .record("snapshot.written", "", &fields);
+            self.submit_snapshot(chunks);
+        }
+    }
+
+    fn submit_snapshot(&mut self, chunks: Vec<snapshot::Chunk>) {
+        let deadline_ms = self.instance().now_ms() + SUBMIT_WAIT_MS;
+        for chunk in chunks {
+            // A chunk is well under the limit; a snapshot that can't be written is tried again.
+            let _ = self.appender.submit(chunk.into(), deadline_ms);
+        }
+    }
+}
