--- a/standin/src/bin/flamingoscale-demo.rs
+++ b/standin/src/bin/flamingoscale-demo.rs
@@ -1,6 +1,12 @@
 //! Shows the whole path in one process and judges it.
 
-use std::process::ExitCode;
+use std::{
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::ExitCode, //
+};
 
 use bpaf::{
     construct,
@@ -8,12 +14,22 @@
     OptionParser,
     Parser, //
 };
-use standin::demo::{
-    run,
-    Options, //
+use standin::{
+    demo::{
+        run,
+        Options,
+        Report, //
+    },
+    scenario, //
 };
 
-fn options() -> OptionParser<Options> {
+/// What was asked for on the command line.
+struct Asked {
+    options: Options,
+    scenario: Option<PathBuf>,
+}
+
+fn asked() -> OptionParser<Asked> {
     let seed = long("seed")
         .help("Decides the faults and what callers ask")
         .argument::<u64>("N")
@@ -33,21 +49,37 @@
     let show_timeline = long("timeline")
         .help("Prints the merged time line of all nodes at the end")
         .switch();
-    construct!(Options {
+    let options = construct!(Options {
         seed,
         faults,
         nodes,
         steps,
         show_timeline,
-    })
+    });
+    let scenario = long("scenario")
+        .help("Runs a scripted scenario instead; see docs/SCENARIOS.md")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    construct!(Asked { options, scenario })
     .to_options()
     .descr("The whole path in one process: platform, engines, nodes, callers and a trainer")
     .footer("Progress goes to stderr; the last line on stdout is one JSON object. Exit code 1 if a promise broke")
 }
 
+fn run_scenario(file: &Path, show_timeline: bool) -> Result<Report, String> {
+    let text = std::fs::read_to_string(file).map_err(|error| error.to_string())?;
+    let mut scenario = scenario::parse(&text).map_err(|error| error.to_string())?;
+    scenario.options.show_timeline = show_timeline;
+    scenario.run().map_err(|error| error.to_string())
+}
+
 fn main() -> ExitCode {
-    let options = options().run();
-    let report = match run(options) {
+    let asked = asked().run();
+    let result = match &asked.scenario {
+        Some(file) => run_scenario(file, asked.options.show_timeline),
+        None => run(asked.options),
+    };
+    let report = match result {
         Ok(report) => report,
         Err(error) => {
             eprintln!("demo: failed: {error}");
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -26,13 +26,17 @@
 mod report;
 mod world;
 
+pub use faults::{
+    Plan,
+    Planned,
+    Target, //
+};
 pub use report::Report;
 
 use callers::{
     Callers,
     Findings, //
 };
-use faults::Plan;
 use nodes::Nodes;
 use operator::Operator;
 use world::World;
@@ -55,7 +59,7 @@
 const VERSION_BYTES: u64 = 2_000_000;
 
 /// What a run does.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Options {
     /// Decides the faults and what callers ask.
     pub seed: u64,
@@ -80,16 +84,26 @@
 ///
 /// What could not be done at all. Broken promises are in the report.
 pub fn run(options: Options) -> Result<Report, String> {
-    actix_rt::System::new().block_on(run_whole(options))
+    let plan = options.faults.then(|| Plan::mixed(options.seed));
+    actix_rt::System::new().block_on(run_whole(options, plan))
+}
+
+/// As [`run`], with faults of the caller's choosing.
+///
+/// # Errors
+///
+/// As [`run`].
+pub fn run_plan(options: Options, plan: Plan) -> Result<Report, String> {
+    actix_rt::System::new().block_on(run_whole(options, Some(plan)))
 }
 
-async fn run_whole(options: Options) -> Result<Report, String> {
+async fn run_whole(options: Options, plan: Option<Plan>) -> Result<Report, String> {
     let started = Instant::now();
     let world = World::start().map_err(|error| error.to_string())?;
     let nodes = Rc::new(Nodes::start(options.nodes, &world)?);
     progress(&format!("{} nodes are up", options.nodes));
     let operator = Operator::new(nodes.addresses());
-    let result = drive(&options, &world, &nodes, &operator).await;
+    let result = drive(&options, plan, &world, &nodes, &operator).await;
     if options.show_timeline {
         show_timeline(&operator, &nodes).await;
     }
@@ -101,6 +115,7 @@
 
 async fn drive(
     options: &Options,
+    plan: Option<Plan>,
     world: &Rc<World>,
     nodes: &Rc<Nodes>,
     operator: &Operator,
@@ -115,7 +130,6 @@
     progress("each organisation has a key");
 
     let callers = Callers::start(&keys, nodes.addresses(), options.seed);
-    let plan = options.faults.then(|| Plan::new(options.seed));
     let faults = plan.map(|plan| faults::inject(plan, world.clone(), nodes.clone()));
     let mut report = Report::new(options.seed, options.nodes as u64);
     train(options, world, nodes, &keys.trainer, &mut report).await?;
@@ -215,6 +229,7 @@
 fn check_whole(findings: &Findings, faults: bool, report: &mut Report) {
     let calls = findings.completions + findings.lookups;
     let whole = findings.completions_whole + findings.lookups_whole;
+    report.unanswered = calls - whole;
     progress(&format!(
         "{whole} of {calls} calls got their whole answer ({} completions, {} lookups)",
         findings.completions, findings.lookups
--- a/standin/src/demo/faults.rs
+++ b/standin/src/demo/faults.rs
@@ -36,23 +36,31 @@
 
 /// What a fault hits.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) enum Target {
+pub enum Target {
+    /// The platform.
     Platform,
+    /// The weight store.
     Store,
+    /// An engine that was there from the start.
     Engine(usize),
+    /// A plain service that was there from the start.
     Service(usize),
     /// Takes back one endpoint of the platform's list.
     Reclaim {
+        /// Which, in the order of the list.
         endpoint: usize,
+        /// Milliseconds until it goes.
         notice_ms: u64,
     },
-    /// Kills a node without a farewell.
+    /// Kills a node without a farewell; it is replaced.
     Node(usize),
+    /// Lets a node go away gracefully; it is not replaced.
+    Drain(usize),
 }
 
 /// One fault at its time.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Planned {
+pub struct Planned {
     at_ms: u64,
     target: Target,
     fault: Fault,
@@ -60,13 +68,30 @@
 
 /// All faults of one run, in order of time.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(super) struct Plan {
+pub struct Plan {
     faults: Vec<Planned>,
 }
 
+impl Planned {
+    /// A fault that happens `at_ms` milliseconds after the callers started.
+    pub fn new(at_ms: u64, target: Target, fault: Fault) -> Self {
+        Self {
+            at_ms,
+            target,
+            fault,
+        }
+    }
+}
+
 impl Plan {
+    /// A plan of these faults, whatever their order.
+    pub fn of(mut faults: Vec<Planned>) -> Self {
+        faults.sort_by_key(|planned| planned.at_ms);
+        Self { faults }
+    }
+
     /// The mix for a seed: each kind of the brief's failures once, some twice, in any order.
-    pub(super) fn new(seed: u64) -> Self {
+    pub fn mixed(seed: u64) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut faults = kinds(&mut random);
         faults.shuffle(&mut random);
@@ -139,12 +164,12 @@
                 "fault at {:?}: {:?}",
                 planned.target, planned.fault
             ));
-            strike(&planned, &world, &nodes);
+            strike(&planned, &world, &nodes).await;
         }
     })
 }
 
-fn strike(planned: &Planned, world: &World, nodes: &Rc<Nodes>) {
+async fn strike(planned: &Planned, world: &World, nodes: &Rc<Nodes>) {
     let fault = &planned.fault;
     match planned.target {
         Target::Platform => world.platform.fault(fault),
@@ -161,6 +186,7 @@
             }
         }
         Target::Node(number) => nodes.kill(number),
+        Target::Drain(number) => nodes.drain(number).await,
     }
 }
 
@@ -170,7 +196,7 @@
 
     #[test]
     fn a_plan_replays_from_its_seed() {
-        assert_eq!(Plan::new(7), Plan::new(7));
-        assert_ne!(Plan::new(7), Plan::new(8));
+        assert_eq!(Plan::mixed(7), Plan::mixed(7));
+        assert_ne!(Plan::mixed(7), Plan::mixed(8));
     }
 }
--- a/standin/src/demo/report.rs
+++ b/standin/src/demo/report.rs
@@ -37,6 +37,9 @@
     pub usage_conflicts: u64,
     /// Requests that reached an endpoint with a caller's key.
     pub keys_seen_by_endpoints: u64,
+    /// Calls that ended without their whole answer.
+    #[serde(skip)]
+    pub unanswered: u64,
     #[serde(skip)]
     broken: Vec<String>,
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod faults;
 pub mod homes;
 pub mod platform;
+pub mod scenario;
 pub mod service;
 pub mod trainer;
 pub mod weight_store;
--- /dev/null
+++ b/standin/tests/scenarios.rs
@@ -0,0 +1,92 @@
+//! Every file under `scenarios/`, run before stand-ins; and the parser's errors.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    sync::Mutex,
+    thread, //
+};
+
+use standin::scenario::{
+    parse,
+    ScenarioError, //
+};
+
+/// Scenarios that run side by side.
+const AT_ONCE: usize = 4;
+
+fn files() -> Vec<PathBuf> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../scenarios");
+    let entries = fs::read_dir(folder).expect("the folder is there");
+    let mut files: Vec<PathBuf> = entries.map(|entry| entry.expect("a file").path()).collect();
+    files.sort();
+    files
+}
+
+#[test]
+fn every_scenario_holds() {
+    let waiting = Mutex::new(files());
+    let broken = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..AT_ONCE {
+            scope.spawn(|| loop {
+                let next = waiting.lock().expect("no panic under the lock").pop();
+                let Some(file) = next else {
+                    return;
+                };
+                if let Err(error) = run(&file) {
+                    let name = file.display();
+                    let line = format!("{name}: {error}");
+                    broken.lock().expect("no panic under the lock").push(line);
+                }
+            });
+        }
+    });
+    let broken = broken.into_inner().expect("no panic under the lock");
+    assert!(broken.is_empty(), "{}", broken.join("\n"));
+}
+
+fn run(file: &Path) -> Result<(), ScenarioError> {
+    let text = fs::read_to_string(file).expect("a text file");
+    parse(&text)?.run().map(|_| ())
+}
+
+#[test]
+fn errors_name_line_and_column() {
+    let cases = [
+        ("nodes 3\nfly away", 2, 1, "nodes"),
+        ("at 5m platform away for 1s", 1, 5, "time"),
+        ("at 1s moon away for 1s", 1, 7, "platform"),
+        ("  at 1s engine x silent for 1s", 1, 16, "whole number"),
+        ("at 1s node 1 hidden", 1, 14, "killed"),
+        ("expect samples is", 1, 18, ""),
+        ("expect steps is 2 or so", 1, 18, "end of the line"),
+    ];
+    for (text, line, column, hint) in cases {
+        let error = parse(text).expect_err("it is no scenario");
+        let ScenarioError::Syntax {
+            line: found_line,
+            column: found_column,
+            ref expected,
+        } = error
+        else {
+            panic!("{text}: {error}");
+        };
+        assert_eq!(
+            (found_line, found_column),
+            (line, column),
+            "{text}: {error}"
+        );
+        assert!(expected.contains(hint), "{text}: {error}");
+    }
+}
+
+#[test]
+fn an_expectation_that_does_not_hold_breaks_the_scenario() {
+    let scenario = parse("steps 1\nexpect samples is 17").expect("it is a scenario");
+    let error = scenario.run().expect_err("a step has sixteen samples");
+    assert_eq!(error.to_string(), "samples is 16, expected is 17");
+}
