--- a/bench/src/report.rs
+++ b/bench/src/report.rs
@@ -96,7 +96,7 @@
         let _ = writeln!(page, "| {name} | {own} | {base} |");
     }
     if !pairs(run).is_empty() {
-        let _ = writeln!(page, "\n![{experiment}]({experiment}.svg)");
+        let _ = writeln!(page, "\n![{experiment}]({experiment}-{seed}.svg)");
     }
 }
 
@@ -113,12 +113,17 @@
 
 fn cell(value: Option<&Value>) -> String {
     match value {
-        None => String::from("–"),
+        None | Some(Value::Null) => String::from("–"),
         Some(Value::Number(number)) => match number.as_f64() {
             Some(float) if !number.is_u64() && !number.is_i64() => format!("{float:.3}"),
             _ => number.to_string(),
         },
         Some(Value::String(text)) => text.clone(),
+        Some(Value::Object(parts)) => parts
+            .iter()
+            .map(|(name, value)| format!("{name} {}", cell(Some(value))))
+            .collect::<Vec<String>>()
+            .join(", "),
         Some(other) => other.to_string(),
     }
 }
@@ -140,7 +145,7 @@
     if pairs.is_empty() {
         return Ok(());
     }
-    let path = folder.join(format!("{}.svg", run.experiment));
+    let path = folder.join(format!("{}-{}.svg", run.experiment, run.seed));
     draw(&path, run, &pairs).map_err(|error| io::Error::other(error.to_string()))
 }
 
