Give a replaced instance no vote by what is left of an old confirmation

Ruled out: the oracle's own allowance, for more than half had read the record. Change: a vouch counts for voting only if the confirmation behind it began after the instance's start; serving on the rest of it stays allowed. Conclusion: a newcomer during an outage votes a poll later than before.

--- a/flamingoscale/src/fuzz/freshness.rs
+++ b/flamingoscale/src/fuzz/freshness.rs
@@ -36,6 +36,8 @@
 ];
 
 const NODES: usize = 3;
+/// Virtual time at which all instances start.
+const START_MS: u64 = 1_000;
 /// Time between two looks of an instance at log and peers.
 const LOOK_MS: u64 = 500;
 /// Longest that a withdrawn key may work, and that a change may be missing, as the users allow.
@@ -124,10 +126,10 @@
 }
 
 impl Node {
-    fn new(index: usize) -> Self {
+    fn new(index: usize, now_ms: u64) -> Self {
         Self {
             folded: 0,
-            freshness: Freshness::new(name(index)),
+            freshness: Freshness::new(name(index), now_ms),
             withdrawn: BTreeSet::new(),
             denied: BTreeSet::new(),
             cut: false,
@@ -162,10 +164,10 @@
     fn new(setting: Setting) -> Self {
         let mut world = Self {
             setting,
-            now_ms: 1_000,
+            now_ms: START_MS,
             away: false,
             log: Vec::new(),
-            nodes: (0..NODES).map(Node::new).collect(),
+            nodes: (0..NODES).map(|index| Node::new(index, START_MS)).collect(),
             asked: BTreeSet::new(),
             accepted_ms: BTreeMap::new(),
             excused: BTreeSet::new(),
@@ -202,7 +204,7 @@
             self.asked.remove(key);
         }
         let cut = self.nodes[node].cut;
-        self.nodes[node] = Node::new(node);
+        self.nodes[node] = Node::new(node, self.now_ms);
         self.nodes[node].cut = cut;
     }
 
--- a/flamingoscale/src/log/actor.rs
+++ b/flamingoscale/src/log/actor.rs
@@ -132,13 +132,14 @@
 impl LogActor {
     fn new(context: ControlContext) -> Self {
         let id = context.instance.id().clone();
+        let now_ms = context.instance.now_ms();
         let failure_domain = context.instance.settings.failure_domain.clone();
         Self {
             appender: Appender::new(id.clone(), context.instance.incarnation),
             buffer: RecordBuffer::default(),
             denials: Denials::default(),
             follower: Follower::new(id.clone(), failure_domain),
-            freshness: Freshness::new(id),
+            freshness: Freshness::new(id, now_ms),
             policy: SnapshotPolicy::default(),
             watch: SnapshotWatch::default(),
             pulls: Vec::new(),
--- a/flamingoscale/src/log/freshness.rs
+++ b/flamingoscale/src/log/freshness.rs
@@ -38,14 +38,18 @@
     /// for a while, also when the log is confirmed meanwhile: or else an instance that lost its
     /// peers first and the log later would be a majority of one.
     electorate: BTreeMap<Arc<str>, u64>,
-    /// Whether the instance was ever fresh; a new one can't tell what it missed.
+    started_ms: u64,
+    /// Whether a confirmation that began after this instance's start has reached it; until then
+    /// it can't tell what it missed before.
     is_established: bool,
 }
 
 impl Freshness {
-    pub(crate) fn new(instance: Arc<str>) -> Self {
+    /// What an instance that started at `started_ms` knows.
+    pub(crate) fn new(instance: Arc<str>, started_ms: u64) -> Self {
         Self {
             instance,
+            started_ms,
             fresh_until_ms: 0,
             sight: (Sight::Untried, 0),
             electorate: BTreeMap::new(),
@@ -158,7 +162,9 @@
     }
 
     fn extend(&mut self, until_ms: u64) {
-        self.is_established = true;
+        // What is left of an older confirmation lets this instance serve, for its peer may as
+        // well, but gives it no vote: in its former life it may have known of a later change.
+        self.is_established |= until_ms >= self.started_ms + FRESH_MS;
         self.fresh_until_ms = self.fresh_until_ms.max(until_ms);
     }
 }
@@ -198,7 +204,7 @@
 
     /// An instance of five that confirmed the log at 1,000 and found it away at 2,000.
     fn cut_off() -> Freshness {
-        let mut freshness = Freshness::new("n0".into());
+        let mut freshness = Freshness::new("n0".into(), 0);
         freshness.confirmed(1_000, &members(5));
         freshness.failed(2_000);
         freshness
@@ -217,17 +223,32 @@
     /// with an instance that had missed it.
     #[test]
     fn a_new_instance_has_no_vote() {
-        let mut freshness = Freshness::new("n0".into());
+        let mut freshness = Freshness::new("n0".into(), 0);
         freshness.failed(1_000);
         assert_eq!(freshness.sight(1_100), Sight::Untried);
         freshness.reached(1_200);
         assert_eq!(freshness.sight(1_300), Sight::Reached);
     }
 
+    /// Found by fuzzing: one that had read a change was replaced, and an instance that had missed
+    /// the change vouched for it with what was left of an old confirmation.
+    #[test]
+    fn a_confirmation_older_than_the_start_gives_no_vote() {
+        let mut freshness = Freshness::new("n0".into(), 10_000);
+        freshness.failed(10_100);
+        let mut standing = away(5);
+        standing.fresh_for_ms = Some(FRESH_MS - 500);
+        freshness.peer(10_200, 5, &standing);
+        assert_eq!(freshness.fresh_until_ms(), 10_200 + FRESH_MS - 500);
+        assert_eq!(freshness.sight(10_300), Sight::Untried);
+        freshness.peer(10_600, 5, &standing);
+        assert_eq!(freshness.sight(10_700), Sight::Away);
+    }
+
     /// Found by fuzzing: the peers were cut off first, and the log was confirmed without them.
     #[test]
     fn an_instance_that_lost_its_peers_before_the_log_is_no_majority() {
-        let mut freshness = Freshness::new("n0".into());
+        let mut freshness = Freshness::new("n0".into(), 0);
         freshness.confirmed(1_000, &members(3));
         freshness.confirmed(20_000, &members(1));
         freshness.failed(21_000);
@@ -237,7 +258,7 @@
 
     #[test]
     fn a_member_that_vanished_long_ago_does_not_count() {
-        let mut freshness = Freshness::new("n0".into());
+        let mut freshness = Freshness::new("n0".into(), 0);
         freshness.confirmed(1_000, &members(5));
         freshness.confirmed(1_000 + VANISHED_MS, &members(2));
         freshness.failed(2_000 + VANISHED_MS);
@@ -303,7 +324,7 @@
 
     #[test]
     fn a_new_instance_needs_a_peer_that_is_fresh() {
-        let mut freshness = Freshness::new("n0".into());
+        let mut freshness = Freshness::new("n0".into(), 0);
         freshness.members(100, &members(3));
         freshness.failed(100);
         freshness.peers(100, 0, &answers(1..3, 0));
