--- /dev/null
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -0,0 +1,225 @@
+//! The endpoints that the platform lists, and what this instance saw of each.
+
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
+
+/// Names an endpoint's place in [`Endpoints`]. Places are never reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct EndpointKey(u32);
+
+/// What the platform lists of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// Its id; mostly new at each start.
+    pub id: Arc<str>,
+    /// Its service.
+    pub service: Arc<str>,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// Version of the weights by model.
+    pub versions: HashMap<Arc<str>, u64>,
+    /// Orders that it accepted since its start.
+    pub accepted_orders: u64,
+    /// Unix milliseconds of its start; tells incarnations under one id apart.
+    pub started_unix_ms: u64,
+    /// Whether the platform may take it back at short notice.
+    pub reclaimable: bool,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// As the platform lists it.
+    pub listing: Listing,
+    /// Whether it has left the list.
+    pub gone: bool,
+    /// Requests that this instance has at it.
+    pub in_flight: u32,
+    /// Requests that it reported running and waiting, less this instance's own.
+    pub foreign: u32,
+    /// When it reported that, in monotonic milliseconds.
+    pub foreign_ms: u64,
+    /// Failures since the last answer.
+    pub failures: u32,
+    /// It is chosen last until then, in monotonic milliseconds.
+    pub shunned_until_ms: u64,
+    /// Smoothed time to an answer; 0 where none was seen.
+    pub answer_ms: f64,
+}
+
+/// How long an endpoint is chosen last after its first failure; doubles with each further one.
+/// A crashed server is back after some seconds.
+const SHUN_MS: u64 = 500;
+
+/// Longest time that an endpoint is chosen last.
+const LONGEST_SHUN_MS: u64 = 4_000;
+
+/// Weight of the newest answer in the smoothed time.
+const SMOOTHING: f64 = 0.3;
+
+/// A load report older than this says nothing.
+const REPORT_MS: u64 = 500;
+
+impl Endpoint {
+    /// Returns whether new work may go to it.
+    pub fn takes_work(&self) -> bool {
+        !self.gone && !self.listing.draining
+    }
+
+    /// Returns the version of a model's weights that it was last known to have.
+    pub fn version(&self, model: &str) -> Option<u64> {
+        self.listing.versions.get(model).copied()
+    }
+
+    /// Returns the requests that are probably at it.
+    pub fn load(&self, now_ms: u64) -> u32 {
+        let fresh = now_ms.saturating_sub(self.foreign_ms) < REPORT_MS;
+        self.in_flight + if fresh { self.foreign } else { 0 }
+    }
+
+    /// Returns whether it failed lately.
+    pub fn shunned(&self, now_ms: u64) -> bool {
+        now_ms < self.shunned_until_ms
+    }
+}
+
+/// All endpoints by place.
+#[derive(Debug, Default)]
+pub struct Endpoints {
+    arena: Vec<Endpoint>,
+    by_id: HashMap<Arc<str>, EndpointKey>,
+}
+
+impl Endpoints {
+    /// Takes in what the platform says of one endpoint.
+    pub fn list(&mut self, listing: Listing) {
+        if let Some(key) = self.by_id.get(&listing.id) {
+            let known = &mut self.arena[key.0 as usize];
+            if known.listing.started_unix_ms > listing.started_unix_ms {
+                return;
+            }
+            let restarted = known.listing.started_unix_ms < listing.started_unix_ms;
+            if !restarted && known.listing.address == listing.address {
+                known.listing = merged(&known.listing, listing);
+                known.gone = false;
+                return;
+            }
+            known.gone = true;
+        }
+        let place = u32::try_from(self.arena.len()).unwrap_or(u32::MAX);
+        self.by_id.insert(listing.id.clone(), EndpointKey(place));
+        self.arena.push(Endpoint {
+            listing,
+            gone: false,
+            in_flight: 0,
+            foreign: 0,
+            foreign_ms: 0,
+            failures: 0,
+            shunned_until_ms: 0,
+            answer_ms: 0.0,
+        });
+    }
+
+    /// Notes that an endpoint has left the list.
+    pub fn remove(&mut self, id: &str) {
+        if let Some(key) = self.by_id.get(id) {
+            self.arena[key.0 as usize].gone = true;
+        }
+    }
+
+    /// Returns the ids of the endpoints that are listed.
+    pub fn ids(&self) -> Vec<Arc<str>> {
+        self.by_id
+            .values()
+            .filter(|key| !self.get(**key).gone)
+            .map(|key| self.get(*key).listing.id.clone())
+            .collect()
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, key: EndpointKey) -> &Endpoint {
+        &self.arena[key.0 as usize]
+    }
+
+    /// Returns an endpoint's place by its id.
+    pub fn find(&self, id: &str) -> Option<EndpointKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the endpoints of a service that are listed.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> {
+        self.by_id
+            .values()
+            .map(|key| (*key, self.get(*key)))
+            .filter(move |(_, endpoint)| !endpoint.gone && &*endpoint.listing.service == service)
+    }
+
+    /// Notes a request sent.
+    pub fn sent(&mut self, key: EndpointKey) {
+        self.arena[key.0 as usize].in_flight += 1;
+    }
+
+    /// Notes that a request is over, however it ended.
+    pub fn over(&mut self, key: EndpointKey) {
+        let endpoint = &mut self.arena[key.0 as usize];
+        endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+    }
+
+    /// Notes an answer.
+    pub fn answered(&mut self, key: EndpointKey, took_ms: f64) {
+        let endpoint = &mut self.arena[key.0 as usize];
+        endpoint.failures = 0;
+        endpoint.shunned_until_ms = 0;
+        endpoint.answer_ms = match endpoint.answer_ms {
+            0.0 => took_ms,
+            known => known + SMOOTHING * (took_ms - known),
+        };
+    }
+
+    /// Notes that the endpoint gave no whole answer.
+    pub fn failed(&mut self, key: EndpointKey, now_ms: u64) {
+        let endpoint = &mut self.arena[key.0 as usize];
+        let shun_ms = SHUN_MS << endpoint.failures.min(3);
+        endpoint.failures += 1;
+        endpoint.shunned_until_ms = now_ms + shun_ms.min(LONGEST_SHUN_MS);
+    }
+
+    /// Notes the load that an endpoint reported.
+    pub fn reported(&mut self, key: EndpointKey, running_and_waiting: u32, now_ms: u64) {
+        let endpoint = &mut self.arena[key.0 as usize];
+        endpoint.foreign = running_and_waiting.saturating_sub(endpoint.in_flight);
+        endpoint.foreign_ms = now_ms;
+    }
+
+    /// Notes the version that an endpoint's own answer named.
+    pub fn ran_version(&mut self, key: EndpointKey, model: &Arc<str>, version: u64) {
+        let versions = &mut self.arena[key.0 as usize].listing.versions;
+        let known = versions.entry(model.clone()).or_default();
+        *known = version.max(*known);
+    }
+}
+
+/// Versions and counts of one incarnation only rise, whatever order the news comes in.
+fn merged(known: &Listing, mut news: Listing) -> Listing {
+    news.draining |= known.draining;
+    news.accepted_orders = news.accepted_orders.max(known.accepted_orders);
+    for (model, version) in &known.versions {
+        let newer = news.versions.entry(model.clone()).or_default();
+        *newer = (*newer).max(*version);
+    }
+    news
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -0,0 +1,307 @@
+//! What the records of the shared topic add up to.
+//!
+//! All instances fold the same records in the order of their offsets. A sample's position in its
+//! batch is the rank of the first record that finished it, so every instance lists the same.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    rc::Rc,
+    sync::Arc, //
+};
+
+use super::record::{
+    Batch,
+    Beat,
+    Partial,
+    Record,
+    SampleResult, //
+};
+
+/// Results for a batch whose own record has not been read yet are kept up to this many, so that
+/// foreign records can't fill the memory.
+const MOST_ORPHANS: usize = 4_096;
+
+/// One batch and what is known of it.
+#[derive(Debug)]
+pub struct BatchState {
+    /// As submitted.
+    pub batch: Arc<Batch>,
+    /// Finished samples by position.
+    pub results: Vec<Rc<SampleResult>>,
+    /// Positions by sample.
+    pub listed: HashMap<Arc<str>, usize>,
+    /// The longest known text of unfinished samples.
+    pub partials: HashMap<Arc<str>, Rc<Partial>>,
+    /// Whether it is over.
+    pub ended: bool,
+    /// When this instance first read of it, in its monotonic milliseconds.
+    pub seen_ms: u64,
+}
+
+impl BatchState {
+    /// Returns a sample by its id.
+    pub fn sample(&self, id: &str) -> Option<&super::record::Sample> {
+        self.batch.samples.iter().find(|sample| &*sample.id == id)
+    }
+
+    fn list(&mut self, result: SampleResult) {
+        let known = self.batch.samples.iter().any(|sample| sample.id == result.sample);
+        if !known || self.listed.contains_key(&result.sample) {
+            return;
+        }
+        self.partials.remove(&result.sample);
+        self.listed.insert(result.sample.clone(), self.results.len());
+        self.results.push(Rc::new(result));
+    }
+}
+
+/// Who holds a lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseState {
+    /// The instance.
+    pub holder: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Offset of the accepted claim: the fencing number.
+    pub term: u64,
+    /// When this instance last read a sign of the holder, in its monotonic milliseconds.
+    pub seen_ms: u64,
+    /// Whether the holder gave it back.
+    pub released: bool,
+}
+
+/// The last sign of life of an instance.
+#[derive(Clone, Debug)]
+pub struct MemberState {
+    /// What it said.
+    pub beat: Beat,
+    /// When this instance read it, in its monotonic milliseconds.
+    pub seen_ms: u64,
+}
+
+/// Counts by organisation of one instance's incarnation.
+type InstanceCounts = HashMap<(Arc<str>, u64), Vec<(Arc<str>, u64)>>;
+
+/// What is known of a usage window.
+#[derive(Debug, Default)]
+pub struct WindowState {
+    /// What each instance counted.
+    pub counted: InstanceCounts,
+    /// The settled figures.
+    pub settled: Option<Vec<(Arc<str>, u64)>>,
+    /// Whether the platform accepted them.
+    pub reported: bool,
+}
+
+/// The fold of all records read so far.
+#[derive(Debug, Default)]
+pub struct Ledger {
+    /// Offset of the next record to read.
+    pub next_offset: u64,
+    /// Batches by id.
+    pub batches: HashMap<Arc<str>, BatchState>,
+    /// Leases by name.
+    pub leases: HashMap<Arc<str>, LeaseState>,
+    /// Instances by name.
+    pub members: BTreeMap<Arc<str>, MemberState>,
+    /// Usage windows by number.
+    pub windows: BTreeMap<u64, WindowState>,
+    /// Requests that broke off at endpoints, by fingerprint.
+    pub suspects: HashMap<u64, u32>,
+    /// The model that each engine serves first.
+    pub plan: HashMap<Arc<str>, Arc<str>>,
+    /// Where the text of a sample was last listed, whatever the batch.
+    pub texts: HashMap<Arc<str>, Rc<SampleResult>>,
+    orphans: Vec<SampleResult>,
+    early_ends: Vec<Arc<str>>,
+}
+
+impl Ledger {
+    /// Folds one record. Records must come in the order of their offsets.
+    pub fn apply(&mut self, offset: u64, record: Record, now_ms: u64) {
+        self.next_offset = self.next_offset.max(offset + 1);
+        match record {
+            Record::Batch(batch) => self.open(batch, now_ms),
+            Record::Results(results) => results.into_iter().for_each(|result| self.list(result)),
+            Record::Partials(partials) => {
+                partials.into_iter().for_each(|partial| self.keep(partial));
+            }
+            Record::Ended { batch } => self.end(batch),
+            Record::Beat(beat) => self.note_beat(beat, now_ms),
+            Record::Claim {
+                lease,
+                holder,
+                incarnation,
+                previous,
+            } => self.claim(offset, lease, (holder, incarnation), previous, now_ms),
+            Record::Renewal {
+                lease,
+                holder,
+                incarnation,
+                term,
+            } => self.renew(lease, (holder, incarnation), term, now_ms),
+            Record::Release { lease, term, .. } => {
+                if let Some(state) = self.leases.get_mut(&lease) {
+                    state.released |= state.term == term;
+                }
+            }
+            Record::Counts {
+                instance,
+                incarnation,
+                window,
+                counts,
+            } => {
+                let state = self.windows.entry(window).or_default();
+                state.counted.insert((instance, incarnation), counts);
+            }
+            Record::Window { window, counts } => {
+                let state = self.windows.entry(window).or_default();
+                state.settled.get_or_insert(counts);
+            }
+            Record::Reported { window } => self.windows.entry(window).or_default().reported = true,
+            Record::Suspect { fingerprint } => {
+                *self.suspects.entry(fingerprint).or_default() += 1;
+            }
+            Record::Plan { engines } => self.plan = engines.into_iter().collect(),
+        }
+    }
+
+    /// Folds what the store kept of the records before `end_offset`.
+    ///
+    /// Batches go first: a batch that was submitted again stands behind its first results.
+    pub fn bootstrap(&mut self, mut records: Vec<(u64, Record)>, end_offset: u64, now_ms: u64) {
+        records.retain(|(offset, record)| {
+            let again = matches!(record, Record::Batch(_));
+            *offset < end_offset && (again || *offset >= self.next_offset)
+        });
+        records.sort_by_key(|(offset, record)| (!matches!(record, Record::Batch(_)), *offset));
+        for (offset, record) in records {
+            self.apply(offset, record, now_ms);
+        }
+        self.next_offset = self.next_offset.max(end_offset);
+    }
+
+    fn open(&mut self, batch: Arc<Batch>, now_ms: u64) {
+        if self.batches.contains_key(&batch.id) {
+            return;
+        }
+        let id = batch.id.clone();
+        let state = BatchState {
+            batch,
+            results: Vec::new(),
+            listed: HashMap::new(),
+            partials: HashMap::new(),
+            ended: false,
+            seen_ms: now_ms,
+        };
+        self.batches.insert(id.clone(), state);
+        let (own, others) = std::mem::take(&mut self.orphans)
+            .into_iter()
+            .partition::<Vec<_>, _>(|result| result.batch == id);
+        self.orphans = others;
+        own.into_iter().for_each(|result| self.list(result));
+        if self.early_ends.contains(&id) {
+            self.end(id);
+        }
+    }
+
+    fn list(&mut self, result: SampleResult) {
+        let Some(state) = self.batches.get_mut(&result.batch) else {
+            if self.orphans.len() < MOST_ORPHANS {
+                self.orphans.push(result);
+            }
+            return;
+        };
+        let before = state.results.len();
+        state.list(result);
+        if let Some(listed) = state.results.get(before) {
+            self.texts.insert(listed.sample.clone(), listed.clone());
+        }
+    }
+
+    fn keep(&mut self, partial: Partial) {
+        let Some(state) = self.batches.get_mut(&partial.batch) else {
+            return;
+        };
+        let shorter = state
+            .partials
+            .get(&partial.sample)
+            .is_none_or(|known| known.last_event < partial.last_event);
+        if shorter && !state.listed.contains_key(&partial.sample) {
+            state.partials.insert(partial.sample.clone(), Rc::new(partial));
+        }
+    }
+
+    fn end(&mut self, batch: Arc<str>) {
+        match self.batches.get_mut(&batch) {
+            Some(state) => state.ended = true,
+            None if self.early_ends.len() < MOST_ORPHANS => self.early_ends.push(batch),
+            None => (),
+        }
+    }
+
+    fn note_beat(&mut self, beat: Beat, now_ms: u64) {
+        let older = self
+            .members
+            .get(&beat.instance)
+            .is_some_and(|known| known.beat.incarnation > beat.incarnation);
+        if !older {
+            let seen_ms = now_ms;
+            self.members
+                .insert(beat.instance.clone(), MemberState { beat, seen_ms });
+        }
+    }
+
+    fn claim(
+        &mut self,
+        offset: u64,
+        lease: Arc<str>,
+        (holder, incarnation): (Arc<str>, u64),
+        previous: u64,
+        now_ms: u64,
+    ) {
+        let in_force = self.leases.get(&lease).map_or(0, |state| state.term);
+        if in_force != previous {
+            return;
+        }
+        let state = LeaseState {
+            holder,
+            incarnation,
+            term: offset + 1,
+            seen_ms: now_ms,
+            released: false,
+        };
+        self.leases.insert(lease, state);
+    }
+
+    fn renew(
+        &mut self,
+        lease: Arc<str>,
+        (holder, incarnation): (Arc<str>, u64),
+        term: u64,
+        now_ms: u64,
+    ) {
+        let in_force = self.leases.get(&lease).map_or(0, |state| state.term);
+        if in_force > term {
+            return;
+        }
+        let released = self
+            .leases
+            .get(&lease)
+            .is_some_and(|state| state.term == term && state.released);
+        let state = LeaseState {
+            holder,
+            incarnation,
+            term,
+            seen_ms: now_ms,
+            released,
+        };
+        self.leases.insert(lease, state);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/flamingoscale/src/fleet/loads.rs
@@ -0,0 +1,162 @@
+//! Which engines serve which model, and which of them load new weights now.
+
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
+
+use super::endpoints::{
+    EndpointKey,
+    Endpoints, //
+};
+
+/// An order without an effect is sent again after this long: a load takes 0.9 s, the list lags by
+/// a heartbeat (1.2 s).
+const ORDER_MS: u64 = 3_000;
+
+/// Share of the engines that may load at once; loads slow down beyond about a fifth of them.
+const AT_ONCE: f64 = 0.22;
+
+/// What an engine does with the runs that it has when it loads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// They end first.
+    Hold,
+    /// They go on under the new version.
+    Retain,
+}
+
+/// One order to load weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// The engine.
+    pub endpoint: EndpointKey,
+    /// The model.
+    pub model: Arc<str>,
+    /// The version.
+    pub version: u64,
+    /// What happens to runs.
+    pub mode: Mode,
+    /// Orders that the engine must have accepted so far, or else it drops this one.
+    pub accepted_orders: u64,
+}
+
+/// Orders on their way.
+#[derive(Debug, Default)]
+pub struct Loads {
+    sent: HashMap<(EndpointKey, Arc<str>), (u64, u64)>,
+}
+
+impl Loads {
+    /// Returns the orders to send now.
+    pub fn due(
+        &mut self,
+        endpoints: &Endpoints,
+        service: &str,
+        plan: &HashMap<Arc<str>, Arc<str>>,
+        named: &HashMap<Arc<str>, u64>,
+        mode: Mode,
+        now_ms: u64,
+    ) -> Vec<Load> {
+        let engines: Vec<_> = endpoints.of_service(service).collect();
+        let most = ((engines.len() as f64 * AT_ONCE) as usize).max(2);
+        self.sent.retain(|(key, model), (version, sent_ms)| {
+            let endpoint = endpoints.get(*key);
+            let done = endpoint.version(model).is_some_and(|known| known >= *version);
+            !endpoint.gone && !done && now_ms.saturating_sub(*sent_ms) < ORDER_MS
+        });
+        let mut behind: Vec<Load> = engines
+            .iter()
+            .filter(|(_, endpoint)| endpoint.takes_work())
+            .filter_map(|(key, endpoint)| {
+                let model = plan.get(&endpoint.listing.id)?;
+                let version = *named.get(model)?;
+                let behind = endpoint.version(model).is_some_and(|known| known < version);
+                behind.then(|| Load {
+                    endpoint: *key,
+                    model: model.clone(),
+                    version,
+                    mode,
+                    accepted_orders: endpoint.listing.accepted_orders,
+                })
+            })
+            .filter(|load| !self.sent.keys().any(|(key, _)| *key == load.endpoint))
+            .collect();
+        behind.sort_by_key(|load| (endpoints.get(load.endpoint).in_flight, load.endpoint));
+        behind.truncate(most.saturating_sub(self.sent.len()));
+        for load in &behind {
+            self.sent
+                .insert((load.endpoint, load.model.clone()), (load.version, now_ms));
+        }
+        behind
+    }
+
+    /// Notes that an order was surely not accepted, so that it may be sent again.
+    pub fn refused(&mut self, endpoint: EndpointKey, model: &Arc<str>) {
+        self.sent.remove(&(endpoint, model.clone()));
+    }
+}
+
+/// Shares out a service's engines over its models by demand, moving as few as possible.
+///
+/// `demand` holds a weight for each model; every model gets one engine at least while there are
+/// enough of them.
+pub fn share_out(
+    engines: &[Arc<str>],
+    models: &[Arc<str>],
+    demand: &HashMap<Arc<str>, f64>,
+    current: &HashMap<Arc<str>, Arc<str>>,
+) -> HashMap<Arc<str>, Arc<str>> {
+    let mut wanted = shares(engines.len(), models, demand);
+    let mut plan = HashMap::new();
+    let mut free = Vec::new();
+    for engine in engines {
+        let kept = current.get(engine).filter(|model| {
+            wanted.get_mut(*model).is_some_and(|left| {
+                let keeps = *left > 0;
+                *left -= usize::from(keeps);
+                keeps
+            })
+        });
+        match kept {
+            Some(model) => drop(plan.insert(engine.clone(), model.clone())),
+            None => free.push(engine.clone()),
+        }
+    }
+    for engine in free {
+        let neediest = models.iter().max_by_key(|model| wanted.get(*model).copied().unwrap_or(0));
+        if let Some(model) = neediest {
+            if let Some(left) = wanted.get_mut(model) {
+                *left = left.saturating_sub(1);
+            }
+            plan.insert(engine, model.clone());
+        }
+    }
+    plan
+}
+
+/// Engines for each model: one each, the rest one by one where the demand per engine is highest.
+fn shares(
+    engines: usize,
+    models: &[Arc<str>],
+    demand: &HashMap<Arc<str>, f64>,
+) -> HashMap<Arc<str>, usize> {
+    let mut shares: HashMap<Arc<str>, usize> = HashMap::new();
+    let weight = |model: &Arc<str>| demand.get(model).copied().unwrap_or(1.0).max(0.01);
+    for _ in 0..engines {
+        let neediest = models.iter().max_by(|a, b| {
+            let need = |model: &Arc<str>| {
+                let has = shares.get(model).copied().unwrap_or(0);
+                if has == 0 { f64::MAX } else { weight(model) / has as f64 }
+            };
+            need(a).total_cmp(&need(b))
+        });
+        if let Some(model) = neediest {
+            *shares.entry(model.clone()).or_default() += 1;
+        }
+    }
+    shares
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/flamingoscale/src/fleet/record.rs
@@ -0,0 +1,258 @@
+//! Records that instances append to the shared topic, and their encoding.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use derive_more::{
+    Display,
+    Error, //
+};
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The result of encoding or decoding a record.
+pub type Result<T> = std::result::Result<T, RecordError>;
+
+/// A record that can't be encoded or read.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("the record can't be coded ({reason}): skip it and compare the instances' releases")]
+pub struct RecordError {
+    /// What the codec said.
+    pub reason: String,
+}
+
+/// One sample that a trainer asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sample {
+    /// Unique within the batch; the same in a later batch that asks for it again.
+    pub id: Arc<str>,
+    /// Samples of one group share their prompt and count only together.
+    pub group: Arc<str>,
+    /// The path that the endpoint is asked for.
+    pub path: Arc<str>,
+    /// Headers that go to the endpoint as they came.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    /// The request body.
+    pub body: Bytes,
+    /// Expected output tokens: the trainer's estimate, or else the allowed maximum.
+    pub expected_tokens: u32,
+}
+
+/// A batch as a trainer submitted it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Batch {
+    /// The trainer's name for the batch.
+    pub id: Arc<str>,
+    /// The organisation whose key came with it.
+    pub organisation: Arc<str>,
+    /// The host that it was sent to; with a sample's path it selects the route.
+    pub host: Arc<str>,
+    /// The model that is trained.
+    pub model: Arc<str>,
+    /// The trainer's step.
+    pub step: u64,
+    /// Oldest weights that may generate a token of it.
+    pub min_version: u64,
+    /// Whole groups that the trainer waits for.
+    pub wanted_groups: u32,
+    /// When it was accepted, in Unix milliseconds.
+    pub submitted_unix_ms: u64,
+    /// The samples, in the trainer's order.
+    pub samples: Vec<Sample>,
+}
+
+/// How a sample ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SampleEnd {
+    /// The whole text is there.
+    Complete,
+    /// It was given up.
+    Failed,
+}
+
+/// The final result of a sample.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SampleResult {
+    /// The batch.
+    pub batch: Arc<str>,
+    /// The sample.
+    pub sample: Arc<str>,
+    /// How it ended.
+    pub end: SampleEnd,
+    /// Data of all events, separated by line feeds.
+    pub text: Arc<str>,
+    /// All versions of the weights that made an event of the text.
+    pub versions: Vec<u64>,
+}
+
+/// Text of a sample that is still being generated, so that another instance can go on from it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Partial {
+    /// The batch.
+    pub batch: Arc<str>,
+    /// The sample.
+    pub sample: Arc<str>,
+    /// Id of the last event of the text.
+    pub last_event: u64,
+    /// Data of the events so far, separated by line feeds.
+    pub text: Arc<str>,
+    /// Versions that made an event of the text.
+    pub versions: Vec<u64>,
+}
+
+/// One sign of life of an instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The instance.
+    pub instance: Arc<str>,
+    /// Unix milliseconds of this process's start: greater for a later one.
+    pub incarnation: u64,
+    /// Where callers reach it.
+    pub address: Arc<str>,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+}
+
+/// A record of the shared topic.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A batch is accepted.
+    Batch(Arc<Batch>),
+    /// Samples are finished. The first record of a sample holds.
+    Results(Vec<SampleResult>),
+    /// Text of unfinished samples. The longest one holds.
+    Partials(Vec<Partial>),
+    /// A batch is over: no sample of it may start any more.
+    Ended {
+        /// The batch.
+        batch: Arc<str>,
+    },
+    /// An instance lives.
+    Beat(Beat),
+    /// An instance wants a lease. It holds if `previous` is still the term in force.
+    Claim {
+        /// The lease.
+        lease: Arc<str>,
+        /// The instance.
+        holder: Arc<str>,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The term that the claimer saw end; 0 for none.
+        previous: u64,
+    },
+    /// The holder of a lease keeps it.
+    Renewal {
+        /// The lease.
+        lease: Arc<str>,
+        /// The instance.
+        holder: Arc<str>,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The term that it holds.
+        term: u64,
+    },
+    /// The holder gives a lease back.
+    Release {
+        /// The lease.
+        lease: Arc<str>,
+        /// The instance.
+        holder: Arc<str>,
+        /// The term that it held.
+        term: u64,
+    },
+    /// Requests that one instance saw begin in one window, so far.
+    Counts {
+        /// The instance.
+        instance: Arc<str>,
+        /// Its incarnation.
+        incarnation: u64,
+        /// The window.
+        window: u64,
+        /// Requests by organisation.
+        counts: Vec<(Arc<str>, u64)>,
+    },
+    /// The figures of a window are settled: only these are ever reported.
+    Window {
+        /// The window.
+        window: u64,
+        /// Requests by organisation.
+        counts: Vec<(Arc<str>, u64)>,
+    },
+    /// The platform accepted the report of a window.
+    Reported {
+        /// The window.
+        window: u64,
+    },
+    /// A request broke off at an endpoint in a way that it may have caused.
+    Suspect {
+        /// Digest of caller, path and body.
+        fingerprint: u64,
+    },
+    /// Which model each engine serves first.
+    Plan {
+        /// Endpoint ids with their models.
+        engines: Vec<(Arc<str>, Arc<str>)>,
+    },
+}
+
+impl Record {
+    /// Encodes the record.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError`] when the codec refuses it.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        bincode::serde::encode_to_vec(self, bincode::config::standard()).map_err(|error| {
+            RecordError {
+                reason: error.to_string(),
+            }
+        })
+    }
+
+    /// Reads a record.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError`] when the bytes are no record.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+            .map(|(record, _)| record)
+            .map_err(|error| RecordError {
+                reason: error.to_string(),
+            })
+    }
+
+    /// Returns the key under which the store keeps the record.
+    ///
+    /// Records whose first occurrence decides get a key that no other record has (`writer` and
+    /// `serial`), so that the store never replaces one of them; see
+    /// `docs/design/shared-store.md`.
+    pub fn key(&self, writer: &str, serial: u64) -> String {
+        match self {
+            Self::Batch(batch) => format!("b/{}", batch.id),
+            Self::Results(_) => format!("r/{writer}/{serial}"),
+            Self::Partials(_) => format!("t/{writer}"),
+            Self::Ended { batch } => format!("e/{batch}"),
+            Self::Beat(beat) => format!("m/{}", beat.instance),
+            Self::Claim { lease, holder, .. }
+            | Self::Renewal { lease, holder, .. }
+            | Self::Release { lease, holder, .. } => format!("l/{lease}/{holder}"),
+            Self::Counts {
+                instance,
+                incarnation,
+                window,
+                ..
+            } => format!("u/{window}/{instance}/{incarnation}"),
+            Self::Window { window, .. } => format!("w/{window}/{writer}"),
+            Self::Reported { window } => format!("d/{window}"),
+            Self::Suspect { .. } => format!("q/{writer}/{serial}"),
+            Self::Plan { .. } => "p".to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/flamingoscale/src/fleet/usage.rs
@@ -0,0 +1,93 @@
+//! Counting the requests of each organisation by window of the wall clock, and settling windows.
+
+use std::{
+    collections::{
+        BTreeMap,
+        HashMap, //
+    },
+    sync::Arc, //
+};
+
+use super::ledger::Ledger;
+
+/// A window is settled this long after its end: instances write their counts every second, and
+/// the report is due ten seconds after the end.
+pub const SETTLE_MS: u64 = 4_000;
+
+/// Windows that ended longer ago than this are left alone.
+const OLDEST_MS: u64 = 60_000;
+
+/// Requests that this instance saw begin.
+#[derive(Debug, Default)]
+pub struct Counter {
+    windows: BTreeMap<u64, HashMap<Arc<str>, u64>>,
+    changed: bool,
+}
+
+impl Counter {
+    /// Counts one request.
+    pub fn count(&mut self, window: u64, organisation: &Arc<str>) {
+        let counts = self.windows.entry(window).or_default();
+        *counts.entry(organisation.clone()).or_default() += 1;
+        self.changed = true;
+    }
+
+    /// Returns the counts of the last two windows if any changed since the last call.
+    pub fn take(&mut self) -> Vec<(u64, Vec<(Arc<str>, u64)>)> {
+        if !std::mem::take(&mut self.changed) {
+            return Vec::new();
+        }
+        while self.windows.len() > 2 {
+            self.windows.pop_first();
+        }
+        self.windows
+            .iter()
+            .map(|(window, counts)| (*window, sorted(counts.clone())))
+            .collect()
+    }
+}
+
+/// What the holder of the usage lease does about one window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Write the figures down as settled.
+    Settle(u64, Vec<(Arc<str>, u64)>),
+    /// Send the settled figures.
+    Report(u64, Vec<(Arc<str>, u64)>),
+}
+
+/// Returns what is due. Only settled figures are sent, so no window is reported in two ways.
+pub fn due(ledger: &Ledger, window_ms: u64, now_unix_ms: u64) -> Vec<Step> {
+    let Some(first) = ledger.windows.keys().next().copied() else {
+        return Vec::new();
+    };
+    let last = now_unix_ms.saturating_sub(SETTLE_MS) / window_ms;
+    let oldest = now_unix_ms.saturating_sub(OLDEST_MS) / window_ms;
+    (first.max(oldest)..last)
+        .filter_map(|window| match ledger.windows.get(&window) {
+            Some(state) if state.reported => None,
+            Some(state) => Some(match &state.settled {
+                Some(counts) => Step::Report(window, counts.clone()),
+                None => Step::Settle(window, total(state.counted.values())),
+            }),
+            None => Some(Step::Settle(window, Vec::new())),
+        })
+        .collect()
+}
+
+fn total<'a>(all: impl Iterator<Item = &'a Vec<(Arc<str>, u64)>>) -> Vec<(Arc<str>, u64)> {
+    let mut sum: HashMap<Arc<str>, u64> = HashMap::new();
+    for (organisation, count) in all.flatten() {
+        *sum.entry(organisation.clone()).or_default() += count;
+    }
+    sorted(sum)
+}
+
+fn sorted(counts: HashMap<Arc<str>, u64>) -> Vec<(Arc<str>, u64)> {
+    let mut counts: Vec<_> = counts.into_iter().collect();
+    counts.sort();
+    counts
+}
+
+#[cfg(test)]
+mod tests;
--- a/flamingoscale/src/lib.rs
+++ b/flamingoscale/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod demand;
 pub mod dispatch;
 pub mod engine;
+pub mod fleet;
 pub mod gateway;
 pub mod home;
 pub mod instance;
--- a/flamingoscale/src/logging.rs
+++ b/flamingoscale/src/logging.rs
@@ -8,10 +8,15 @@
 };
 use spdlog::{
     formatter::JsonFormatter,
-    sink::StdStreamSink,
+    sink::{
+        AsyncPoolSink,
+        OverflowPolicy,
+        StdStreamSink, //
+    },
     Level,
     LevelFilter,
-    Logger, //
+    Logger,
+    ThreadPool, //
 };
 
 use crate::timeline::{
@@ -74,3 +79,47 @@
         reason: error.to_string(),
     }
 }
+
+/// Lines that wait for the writing thread at most; further ones are dropped and counted.
+const MOST_WAITING_LINES: usize = 8_192;
+
+/// Makes every log line of this process a JSON object on standard output.
+///
+/// A thread of its own writes them. Where that thread doesn't keep up, lines are dropped instead
+/// of holding up whoever logs.
+///
+/// # Errors
+///
+/// [`LoggingError`] when standard output or the thread can't be used.
+pub fn install_on_stdout(process: &str) -> Result<()> {
+    let output = StdStreamSink::builder()
+        .stdout()
+        .formatter(JsonFormatter::new())
+        .build_arc()
+        .map_err(logging_error)?;
+    let capacity = std::num::NonZeroUsize::new(MOST_WAITING_LINES);
+    let pool = ThreadPool::builder()
+        .capacity(capacity.unwrap_or(std::num::NonZeroUsize::MIN))
+        .build_arc()
+        .map_err(logging_error)?;
+    let sink = AsyncPoolSink::builder()
+        .sink(output)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()
+        .map_err(logging_error)?;
+    let logger = Logger::builder()
+        .name(process)
+        .level_filter(LevelFilter::MoreSevereEqual(Level::Info))
+        .flush_level_filter(LevelFilter::Off)
+        .sink(sink)
+        .build_arc()
+        .map_err(logging_error)?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
+
+/// Writes out what waits.
+pub fn flush() {
+    spdlog::default_logger().flush();
+}
