--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -26,8 +26,6 @@
     pub draining: bool,
     /// Version of the weights by model.
     pub versions: HashMap<Arc<str>, u64>,
-    /// Orders that it accepted since its start.
-    pub accepted_orders: u64,
     /// Unix milliseconds of its start; tells incarnations under one id apart.
     pub started_unix_ms: u64,
     /// Whether the platform may take it back at short notice.
@@ -213,7 +211,6 @@
 /// Versions and counts of one incarnation only rise, whatever order the news comes in.
 fn merged(known: &Listing, mut news: Listing) -> Listing {
     news.draining |= known.draining;
-    news.accepted_orders = news.accepted_orders.max(known.accepted_orders);
     for (model, version) in &known.versions {
         let newer = news.versions.entry(model.clone()).or_default();
         *newer = (*newer).max(*version);
--- a/flamingoscale/src/fleet/loads.rs
+++ b/flamingoscale/src/fleet/loads.rs
@@ -37,8 +37,6 @@
     pub version: u64,
     /// What happens to runs.
     pub mode: Mode,
-    /// Orders that the engine must have accepted so far, or else it drops this one.
-    pub accepted_orders: u64,
 }
 
 /// Orders on their way.
@@ -77,7 +75,6 @@
                     model: model.clone(),
                     version,
                     mode,
-                    accepted_orders: endpoint.listing.accepted_orders,
                 })
             })
             .filter(|load| !self.sent.keys().any(|(key, _)| *key == load.endpoint))
