--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -49,6 +49,8 @@
     pub failures: u32,
     /// It is chosen last until then, in monotonic milliseconds.
     pub shunned_until_ms: u64,
+    /// It refused a request; it gets none of a batch until then, in monotonic milliseconds.
+    pub refused_until_ms: u64,
     /// Smoothed time to an answer; 0 where none was seen.
     pub answer_ms: f64,
 }
@@ -60,6 +62,9 @@
 /// Longest time that an endpoint is chosen last.
 const LONGEST_SHUN_MS: u64 = 4_000;
 
+/// Pause after a refusal. A load of weights, during which an engine refuses, takes 0.9 s.
+const REFUSED_MS: u64 = 120;
+
 /// Weight of the newest answer in the smoothed time.
 const SMOOTHING: f64 = 0.3;
 
@@ -122,6 +127,7 @@
             foreign_ms: 0,
             failures: 0,
             shunned_until_ms: 0,
+            refused_until_ms: 0,
             answer_ms: 0.0,
         });
     }
@@ -193,6 +199,11 @@
         endpoint.shunned_until_ms = now_ms + shun_ms.min(LONGEST_SHUN_MS);
     }
 
+    /// Notes that an endpoint refused a request without running it.
+    pub fn refused(&mut self, key: EndpointKey, now_ms: u64) {
+        self.arena[key.0 as usize].refused_until_ms = now_ms + REFUSED_MS;
+    }
+
     /// Notes the load that an endpoint reported.
     pub fn reported(&mut self, key: EndpointKey, running_and_waiting: u32, now_ms: u64) {
         let endpoint = &mut self.arena[key.0 as usize];
--- a/flamingoscale/src/fleet/loads.rs
+++ b/flamingoscale/src/fleet/loads.rs
@@ -5,9 +5,12 @@
     sync::Arc, //
 };
 
-use super::endpoints::{
-    EndpointKey,
-    Endpoints, //
+use super::{
+    endpoints::{
+        EndpointKey,
+        Endpoints, //
+    },
+    ledger::Ledger, //
 };
 
 /// An order without an effect is sent again after this long: a load takes 0.9 s, the list lags by
@@ -39,6 +42,26 @@
     pub mode: Mode,
 }
 
+/// Returns the oldest weights that an engine of each model must have now.
+///
+/// While a batch is open, weights that it allows are good enough: an engine that loads makes
+/// nothing for a second. The trainer's own training time, when no batch is open, is when the
+/// newest version is loaded.
+pub fn needed(ledger: &Ledger, named: &HashMap<Arc<str>, u64>) -> HashMap<Arc<str>, u64> {
+    let mut needed = named.clone();
+    for (model, version) in &mut needed {
+        let open = ledger
+            .batches
+            .values()
+            .filter(|state| !state.ended && state.batch.model == *model)
+            .filter(|state| state.listed.len() < state.batch.samples.len())
+            .map(|state| state.batch.min_version)
+            .max();
+        *version = open.unwrap_or(*version).min(*version);
+    }
+    needed
+}
+
 /// Orders on their way.
 #[derive(Debug, Default)]
 pub struct Loads {
@@ -46,16 +69,17 @@
 }
 
 impl Loads {
-    /// Returns the orders to send now.
+    /// Returns the orders to send now, for the engines of a service.
     pub fn due(
         &mut self,
+        ledger: &Ledger,
         endpoints: &Endpoints,
         service: &str,
-        plan: &HashMap<Arc<str>, Arc<str>>,
         named: &HashMap<Arc<str>, u64>,
         mode: Mode,
         now_ms: u64,
     ) -> Vec<Load> {
+        let needed = needed(ledger, named);
         let engines: Vec<_> = endpoints.of_service(service).collect();
         let most = ((engines.len() as f64 * AT_ONCE) as usize).max(2);
         self.sent.retain(|(key, model), (version, sent_ms)| {
@@ -67,9 +91,10 @@
             .iter()
             .filter(|(_, endpoint)| endpoint.takes_work())
             .filter_map(|(key, endpoint)| {
-                let model = plan.get(&endpoint.listing.id)?;
+                let model = ledger.plan.get(&endpoint.listing.id)?;
                 let version = *named.get(model)?;
-                let behind = endpoint.version(model).is_some_and(|known| known < version);
+                let least = *needed.get(model)?;
+                let behind = endpoint.version(model).is_some_and(|known| known < least);
                 behind.then(|| Load {
                     endpoint: *key,
                     model: model.clone(),
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -213,7 +213,7 @@
     };
     endpoints
         .of_service(service)
-        .filter(|(_, endpoint)| endpoint.takes_work())
+        .filter(|(_, endpoint)| endpoint.takes_work() && endpoint.refused_until_ms <= now_ms)
         .filter(|(_, endpoint)| {
             endpoint
                 .version(model)
--- a/flamingoscale/src/fleet/tenure.rs
+++ b/flamingoscale/src/fleet/tenure.rs
@@ -9,24 +9,42 @@
 
 use super::ledger::Ledger;
 
-/// How often a holder renews. A third of the term, so that two lost renewals cost nothing.
-pub const RENEW_MS: u64 = 600;
-
-/// How long a holder may act after it sent its last renewal that was acknowledged.
-pub const TERM_MS: u64 = 2_000;
+/// How long a lease lasts, and who may claim it when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rules {
+    /// How often a holder renews: a third of the term, so that two lost renewals cost nothing.
+    pub renew_ms: u64,
+    /// How long a holder may act after it sent its last renewal that was acknowledged.
+    pub term_ms: u64,
+    /// How much longer the others wait: covers timers that fire late and an order in flight.
+    pub guard_ms: u64,
+    /// An instance that just started waits this long before it claims.
+    pub settle_ms: u64,
+}
 
-/// How much longer the others wait: covers timers that fire late and an order in flight.
-pub const GUARD_MS: u64 = 700;
+/// Leases under which orders and reports are sent. An instance that starts again waits out the
+/// platform's lease time (3 s), so that two holders never take turns within it.
+pub const ORDERS: Rules = Rules {
+    renew_ms: 600,
+    term_ms: 2_000,
+    guard_ms: 700,
+    settle_ms: 3_500,
+};
 
-/// An instance that just started waits this long before it claims, so that its former incarnation
-/// and it don't take turns with another holder within the platform's lease time (3 s).
-pub const SETTLE_MS: u64 = 4_000;
+/// Leases under which samples are run. Two holders at once only do work twice, so the next one
+/// takes over sooner.
+pub const SAMPLES: Rules = Rules {
+    renew_ms: 450,
+    term_ms: 1_400,
+    guard_ms: 400,
+    settle_ms: 400,
+};
 
 /// Extra wait for each place in the order of succession, so that few claims race.
 pub const RANK_MS: u64 = 300;
 
 /// An instance whose last sign is older than this is taken for dead: three beats and slack.
-pub const MEMBER_MS: u64 = 4_000;
+pub const MEMBER_MS: u64 = 3_500;
 
 /// Who decides about a claim.
 #[derive(Clone, Debug)]
@@ -57,9 +75,15 @@
 
 /// Returns the term that a claim must name, if the instance should claim the lease now.
 ///
-/// The caller must have read the topic to its end within [`GUARD_MS`].
-pub fn claim(ledger: &Ledger, lease: &str, claimer: &Claimer, now_ms: u64) -> Option<u64> {
-    let settled_ms = claimer.caught_up_ms + SETTLE_MS;
+/// The caller must have read the topic to its end within the last second or so.
+pub fn claim(
+    ledger: &Ledger,
+    lease: &str,
+    rules: Rules,
+    claimer: &Claimer,
+    now_ms: u64,
+) -> Option<u64> {
+    let settled_ms = claimer.caught_up_ms + rules.settle_ms;
     if now_ms < settled_ms {
         return None;
     }
@@ -67,8 +91,11 @@
         .iter()
         .position(|name| *name == claimer.instance)?;
     let wait_ms = rank as u64 * RANK_MS;
+    if now_ms < settled_ms + wait_ms {
+        return None;
+    }
     match ledger.leases.get(lease) {
-        None => (now_ms >= settled_ms + wait_ms).then_some(0),
+        None => Some(0),
         Some(state) => {
             let age_ms = now_ms.saturating_sub(state.seen_ms);
             let restarted = ledger
@@ -77,7 +104,7 @@
                 .is_some_and(|member| member.beat.incarnation > state.incarnation);
             let due_ms = match state.released || restarted {
                 true => wait_ms,
-                false => TERM_MS + GUARD_MS + wait_ms,
+                false => rules.term_ms + rules.guard_ms + wait_ms,
             };
             (age_ms >= due_ms).then_some(state.term)
         }
@@ -95,8 +122,8 @@
 
 impl Tenure {
     /// Returns whether the holder may still act.
-    pub fn holds(&self, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.sent_ms) < TERM_MS
+    pub fn holds(&self, rules: Rules, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.sent_ms) < rules.term_ms
     }
 }
 
--- a/flamingoscale/src/fleet/usage.rs
+++ b/flamingoscale/src/fleet/usage.rs
@@ -17,6 +17,9 @@
 /// Windows that ended longer ago than this are left alone.
 const OLDEST_MS: u64 = 60_000;
 
+/// Requests by organisation.
+pub type Counts = Vec<(Arc<str>, u64)>;
+
 /// Requests that this instance saw begin.
 #[derive(Debug, Default)]
 pub struct Counter {
@@ -33,7 +36,7 @@
     }
 
     /// Returns the counts of the last two windows if any changed since the last call.
-    pub fn take(&mut self) -> Vec<(u64, Vec<(Arc<str>, u64)>)> {
+    pub fn take(&mut self) -> Vec<(u64, Counts)> {
         if !std::mem::take(&mut self.changed) {
             return Vec::new();
         }
