--- a/flamingoscale/src/fleet/tenure.rs
+++ b/flamingoscale/src/fleet/tenure.rs
@@ -83,6 +83,13 @@
     claimer: &Claimer,
     now_ms: u64,
 ) -> Option<u64> {
+    let known = ledger.leases.get(lease);
+    if let Some(state) = known.filter(|state| state.holder == claimer.instance) {
+        // No other holder comes between two incarnations of one instance.
+        if state.incarnation < claimer.incarnation {
+            return Some(state.term);
+        }
+    }
     let settled_ms = claimer.caught_up_ms + rules.settle_ms;
     if now_ms < settled_ms {
         return None;
@@ -94,7 +101,7 @@
     if now_ms < settled_ms + wait_ms {
         return None;
     }
-    match ledger.leases.get(lease) {
+    match known {
         None => Some(0),
         Some(state) => {
             let age_ms = now_ms.saturating_sub(state.seen_ms);
--- a/flamingoscale/src/fleet/tenure/tests.rs
+++ b/flamingoscale/src/fleet/tenure/tests.rs
@@ -86,6 +86,24 @@
     assert_eq!(first_claim(&ledger, &line[0], 100_100), Some(100_100));
 }
 
+/// After a loss of power of all instances nobody could order weights for four seconds.
+#[test]
+fn an_instance_takes_its_own_lease_back_at_once() {
+    let mut ledger = ledger(&["n1", "n2"], 100_000);
+    held(&mut ledger, "n1", 100_000);
+    let again = Claimer {
+        instance: "n1".into(),
+        incarnation: 2,
+        caught_up_ms: 100_000,
+    };
+    assert_eq!(claim(&ledger, LEASE, ORDERS, &again, 100_000), Some(11));
+    let other = Claimer {
+        instance: "n2".into(),
+        ..again
+    };
+    assert_eq!(claim(&ledger, LEASE, ORDERS, &other, 100_000), None);
+}
+
 #[test]
 fn the_silent_and_the_unknown_stay_out_of_line() {
     let ledger = ledger(&["n1"], 0);
