--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -4,6 +4,7 @@
 //! appended into one [`ledger::Ledger`]; the modules beside it decide from that fold and the time
 //! alone, without sockets or clocks. The design is in `docs/design/shared-store.md`.
 
+pub mod attempts;
 pub mod choice;
 pub mod configuration;
 pub mod endpoints;
--- a/flamingoscale/src/fleet/tenure.rs
+++ b/flamingoscale/src/fleet/tenure.rs
@@ -40,6 +40,10 @@
     settle_ms: 400,
 };
 
+/// Extra wait for a lease that nobody ever held: by then all instances of a new deployment have
+/// written a sign of life, and the leases are spread over them.
+pub const FIRST_MS: u64 = 2_000;
+
 /// Extra wait for each place in the order of succession, so that few claims race.
 pub const RANK_MS: u64 = 300;
 
@@ -102,7 +106,7 @@
         return None;
     }
     match known {
-        None => Some(0),
+        None => (now_ms >= settled_ms + FIRST_MS + wait_ms).then_some(0),
         Some(state) => {
             let age_ms = now_ms.saturating_sub(state.seen_ms);
             let restarted = ledger
--- a/flamingoscale/src/logging.rs
+++ b/flamingoscale/src/logging.rs
@@ -1,6 +1,9 @@
 //! Logs: one JSON object a line on standard error.
 
-use std::sync::Arc;
+use std::{
+    collections::HashMap,
+    sync::Arc, //
+};
 
 use derive_more::{
     Display,
@@ -123,3 +126,43 @@
 pub fn flush() {
     spdlog::default_logger().flush();
 }
+
+/// Lines of one kind in a second before further ones are only counted: on a calm day an instance
+/// writes about ten in all.
+const MOST_LINES_PER_S: u32 = 100;
+
+/// Length of the time over which lines are counted.
+const SECOND_MS: u64 = 1_000;
+
+/// Bounds how many lines of each kind are written.
+#[derive(Debug, Default)]
+pub struct Bound {
+    kinds: HashMap<&'static str, Window>,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    began_ms: u64,
+    lines: u32,
+    left_out: u64,
+}
+
+impl Bound {
+    /// Returns whether a line may be written, and how many of its kind were left out before it.
+    pub fn admit(&mut self, kind: &'static str, now_ms: u64) -> Option<u64> {
+        let window = self.kinds.entry(kind).or_default();
+        if now_ms.saturating_sub(window.began_ms) >= SECOND_MS {
+            window.began_ms = now_ms;
+            window.lines = 0;
+        }
+        if window.lines >= MOST_LINES_PER_S {
+            window.left_out += 1;
+            return None;
+        }
+        window.lines += 1;
+        Some(std::mem::take(&mut window.left_out))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/flamingoscale/src/metrics.rs
+++ b/flamingoscale/src/metrics.rs
@@ -10,7 +10,11 @@
     metrics::{
         counter::Counter,
         family::Family,
-        gauge::Gauge, //
+        gauge::Gauge,
+        histogram::{
+            exponential_buckets,
+            Histogram, //
+        }, //
     },
     registry::Registry, //
 };
@@ -47,26 +51,36 @@
     pub events: Family<KindLabel, Counter>,
     /// Anything with a current value, by one word.
     pub levels: Family<KindLabel, Gauge>,
+    /// How long anything took, by one word, in milliseconds.
+    pub took_ms: Family<KindLabel, Histogram>,
     /// Payload bytes sent to peers, by part of the system.
     pub peer_bytes: Family<PartLabel, Counter>,
     registry: Mutex<Registry>,
 }
 
+/// Buckets from 2 ms to 16 s, each twice the one before: from a store's call to a batch.
+fn new_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(2.0, 2.0, 14))
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let requests = Family::default();
         let events = Family::default();
         let levels = Family::default();
         let peer_bytes = Family::default();
+        let took_ms = Family::new_with_constructor(new_histogram as fn() -> Histogram);
         let mut registry = Registry::with_prefix("flamingoscale");
         registry.register("requests", "Requests by outcome", requests.clone());
         registry.register("events", "Events by kind", events.clone());
+        registry.register("took_ms", "Milliseconds by kind", took_ms.clone());
         registry.register("peer_bytes", "Bytes sent to peers", peer_bytes.clone());
         registry.register("level", "Current values by kind", levels.clone());
         Self {
             requests,
             events,
             levels,
+            took_ms,
             peer_bytes,
             registry: Mutex::new(registry),
         }
@@ -80,6 +94,12 @@
         self.events.get_or_create(&label).inc();
     }
 
+    /// Notes how long something took.
+    pub fn took(&self, kind: &str, took_ms: u64) {
+        let label = KindLabel { kind: kind.into() };
+        self.took_ms.get_or_create(&label).observe(took_ms as f64);
+    }
+
     /// Counts the bytes of one message to a peer.
     pub(crate) fn count_peer_bytes(&self, part: &str, bytes: usize) {
         let label = PartLabel { part: part.into() };
