--- a/flamingoscale/src/fleet/tenure/tests.rs
+++ b/flamingoscale/src/fleet/tenure/tests.rs
@@ -35,7 +35,7 @@
 }
 
 fn first_claim(ledger: &Ledger, instance: &str, from_ms: u64) -> Option<u64> {
-    (from_ms..from_ms + 5_000)
+    (from_ms..from_ms + 9_000)
         .find(|now_ms| claim(ledger, LEASE, ORDERS, &claimer(instance), *now_ms).is_some())
 }
 
