--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -44,6 +44,7 @@
         min_version: step.saturating_sub(1),
         wanted_groups: u32::try_from(groups - groups / 10).unwrap_or(0),
         submitted_unix_ms: step * 1_000,
+        earlier_parts: 0,
         samples: (0..groups)
             .flat_map(|group| (0..2).map(move |index| (group, index)))
             .map(|(group, index)| sample(group, index))
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -17,6 +17,7 @@
     Beat,
     Partial,
     Record,
+    Sample,
     SampleResult, //
 };
 
@@ -43,7 +44,7 @@
 
 impl BatchState {
     /// Returns a sample by its id.
-    pub fn sample(&self, id: &str) -> Option<&super::record::Sample> {
+    pub fn sample(&self, id: &str) -> Option<&Sample> {
         self.batch.samples.iter().find(|sample| &*sample.id == id)
     }
 
@@ -120,6 +121,7 @@
     pub plan: HashMap<Arc<str>, Arc<str>>,
     /// Where the text of a sample was last listed, whatever the batch.
     pub texts: HashMap<Arc<str>, Rc<SampleResult>>,
+    parts: HashMap<(Arc<str>, u32), Vec<Sample>>,
     orphans: Vec<SampleResult>,
     early_ends: Vec<Arc<str>>,
 }
@@ -130,6 +132,15 @@
         self.next_offset = self.next_offset.max(offset + 1);
         match record {
             Record::Batch(batch) => self.open(batch, now_ms),
+            Record::BatchPart {
+                batch,
+                part,
+                samples,
+            } => {
+                if !self.batches.contains_key(&batch) && self.parts.len() < MOST_ORPHANS {
+                    self.parts.insert((batch, part), samples);
+                }
+            }
             Record::Results(results) => results.into_iter().for_each(|result| self.list(result)),
             Record::Partials(partials) => {
                 partials.into_iter().for_each(|partial| self.keep(partial));
@@ -179,10 +190,9 @@
     /// Batches go first: a batch that was submitted again stands behind its first results.
     pub fn bootstrap(&mut self, mut records: Vec<(u64, Record)>, end_offset: u64, now_ms: u64) {
         records.retain(|(offset, record)| {
-            let again = matches!(record, Record::Batch(_));
-            *offset < end_offset && (again || *offset >= self.next_offset)
+            *offset < end_offset && (rank(record) < 2 || *offset >= self.next_offset)
         });
-        records.sort_by_key(|(offset, record)| (!matches!(record, Record::Batch(_)), *offset));
+        records.sort_by_key(|(offset, record)| (rank(record), *offset));
         for (offset, record) in records {
             self.apply(offset, record, now_ms);
         }
@@ -193,6 +203,9 @@
         if self.batches.contains_key(&batch.id) {
             return;
         }
+        let Some(batch) = self.whole(batch) else {
+            return;
+        };
         let id = batch.id.clone();
         let state = BatchState {
             batch,
@@ -213,6 +226,22 @@
         }
     }
 
+    /// Puts a batch together from its parts; `None` while one is missing.
+    fn whole(&mut self, batch: Arc<Batch>) -> Option<Arc<Batch>> {
+        if batch.earlier_parts == 0 {
+            return Some(batch);
+        }
+        let mut samples = Vec::new();
+        for part in 0..batch.earlier_parts {
+            samples.extend(self.parts.remove(&(batch.id.clone(), part))?);
+        }
+        let mut whole = Batch::clone(&batch);
+        samples.append(&mut whole.samples);
+        whole.samples = samples;
+        whole.earlier_parts = 0;
+        Some(Arc::new(whole))
+    }
+
     fn list(&mut self, result: SampleResult) {
         let Some(state) = self.batches.get_mut(&result.batch) else {
             if self.orphans.len() < MOST_ORPHANS {
@@ -310,5 +339,14 @@
     }
 }
 
+/// Parts go before batches, batches before the rest.
+fn rank(record: &Record) -> u8 {
+    match record {
+        Record::BatchPart { .. } => 0,
+        Record::Batch(_) => 1,
+        _ => 2,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/flamingoscale/src/fleet/ledger/tests.rs
+++ b/flamingoscale/src/fleet/ledger/tests.rs
@@ -60,6 +60,24 @@
     assert_eq!(positions(&ledger, "b").len(), 1);
 }
 
+/// A batch of more bytes than a record may have was refused for good.
+#[test]
+fn a_large_batch_comes_in_parts_and_is_whole() {
+    let Record::Batch(large) = batch("b", 1, 40, |_, _| 10) else {
+        unreachable!()
+    };
+    let records = Batch::clone(&large).into_records(1_000);
+    assert!(records.len() > 3);
+    let sizes = records.iter().map(|record| record.encode().unwrap().len());
+    assert!(sizes.max() < Some(1_200));
+    assert_eq!(folded(&records).batches["b"].batch, large);
+    // From what the store kept, also where it was submitted again and its parts came twice.
+    let again: Vec<Record> = [records.clone(), records].concat();
+    let mut late = Ledger::default();
+    late.bootstrap(kept(&again), again.len() as u64, 0);
+    assert_eq!(late.batches["b"].batch, large);
+}
+
 #[test]
 fn an_end_that_is_read_before_its_batch_holds() {
     let ended = Record::Ended { batch: "b".into() };
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -59,10 +59,57 @@
     pub wanted_groups: u32,
     /// When it was accepted, in Unix milliseconds.
     pub submitted_unix_ms: u64,
+    /// Records before this one that hold the first samples, where one record can't hold all.
+    pub earlier_parts: u32,
     /// The samples, in the trainer's order.
     pub samples: Vec<Sample>,
 }
 
+impl Batch {
+    /// Splits the batch into records of at most about `most_bytes` each. The last one opens the
+    /// batch; the others come before it.
+    pub fn into_records(mut self, most_bytes: usize) -> Vec<Record> {
+        let size = |sample: &Sample| {
+            let headers = sample
+                .headers
+                .iter()
+                .map(|(name, value)| name.len() + value.len() + 4);
+            let texts = sample.id.len() + sample.group.len() + sample.path.len();
+            sample.body.len() + texts + headers.sum::<usize>() + SAMPLE_BYTES
+        };
+        let mut parts: Vec<Vec<Sample>> = vec![Vec::new()];
+        let mut bytes = 0;
+        for sample in std::mem::take(&mut self.samples) {
+            let more = size(&sample);
+            if bytes + more > most_bytes && bytes > 0 {
+                parts.push(Vec::new());
+                bytes = 0;
+            }
+            bytes += more;
+            parts
+                .last_mut()
+                .into_iter()
+                .for_each(|part| part.push(sample.clone()));
+        }
+        self.samples = parts.pop().unwrap_or_default();
+        self.earlier_parts = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        let id = self.id.clone();
+        let mut records: Vec<Record> = (0..)
+            .zip(parts)
+            .map(|(part, samples)| Record::BatchPart {
+                batch: id.clone(),
+                part,
+                samples,
+            })
+            .collect();
+        records.push(Record::Batch(Arc::new(self)));
+        records
+    }
+}
+
+/// Bytes of a sample's encoding beside its texts, at most.
+const SAMPLE_BYTES: usize = 64;
+
 /// How a sample ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SampleEnd {
@@ -124,6 +171,15 @@
 pub enum Record {
     /// A batch is accepted.
     Batch(Arc<Batch>),
+    /// The first samples of a large batch, whose own record follows.
+    BatchPart {
+        /// The batch.
+        batch: Arc<str>,
+        /// Place among the parts, from 0.
+        part: u32,
+        /// The samples.
+        samples: Vec<Sample>,
+    },
     /// Samples are finished. The first record of a sample holds.
     Results(Vec<SampleResult>),
     /// Text of unfinished samples. The longest one holds.
@@ -236,6 +292,7 @@
     pub fn key(&self, writer: &str, serial: u64) -> String {
         match self {
             Self::Batch(batch) => format!("b/{}", batch.id),
+            Self::BatchPart { batch, part, .. } => format!("c/{batch}/{part}"),
             Self::Results(_) => format!("r/{writer}/{serial}"),
             Self::Partials(_) => format!("t/{writer}"),
             Self::Ended { batch } => format!("e/{batch}"),
--- a/flamingoscale/src/fleet/tenure/tests.rs
+++ b/flamingoscale/src/fleet/tenure/tests.rs
@@ -42,7 +42,10 @@
 #[test]
 fn an_instance_that_just_started_waits_out_the_platforms_lease() {
     let ledger = ledger(&["n1"], 5_000);
-    assert_eq!(first_claim(&ledger, "n1", 0), Some(ORDERS.settle_ms + FIRST_MS));
+    assert_eq!(
+        first_claim(&ledger, "n1", 0),
+        Some(ORDERS.settle_ms + FIRST_MS)
+    );
 }
 
 #[test]
