Read small records and open batches at the start, the rest when it is asked for

Change: small records have the first keys, batches and results are keyed by the time of acceptance; a process that starts reads the small ones and what is open, other batches when they are asked for. Batches are accepted before the ledger is read: the fold tells duplicates apart.

--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -62,6 +62,13 @@
     }
 }
 
+pub(crate) fn results(results: Vec<SampleResult>) -> Record {
+    Record::Results {
+        submitted_unix_ms: 1,
+        results,
+    }
+}
+
 pub(crate) fn beat(instance: &str, incarnation: u64) -> Record {
     Record::Beat(Beat {
         instance: instance.into(),
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -6,7 +6,8 @@
 use std::{
     collections::{
         BTreeMap,
-        HashMap, //
+        HashMap,
+        HashSet, //
     },
     rc::Rc,
     sync::Arc, //
@@ -119,11 +120,14 @@
     pub suspects: HashMap<u64, u32>,
     /// The model that each engine serves first.
     pub plan: HashMap<Arc<str>, Arc<str>>,
+    /// When each batch was accepted, also those that are not loaded.
+    pub index: HashMap<Arc<str>, u64>,
     /// Where the text of a sample was last listed, whatever the batch.
     pub texts: HashMap<Arc<str>, Rc<SampleResult>>,
     parts: HashMap<(Arc<str>, u32), Vec<Sample>>,
     orphans: Vec<SampleResult>,
-    early_ends: Vec<Arc<str>>,
+    ended: HashSet<Arc<str>>,
+    loading: HashSet<Arc<str>>,
 }
 
 impl Ledger {
@@ -136,12 +140,21 @@
                 batch,
                 part,
                 samples,
+                ..
             } => {
                 if !self.batches.contains_key(&batch) && self.parts.len() < MOST_ORPHANS {
                     self.parts.insert((batch, part), samples);
                 }
             }
-            Record::Results(results) => results.into_iter().for_each(|result| self.list(result)),
+            Record::Opened {
+                batch,
+                submitted_unix_ms,
+            } => {
+                self.index.entry(batch).or_insert(submitted_unix_ms);
+            }
+            Record::Results { results, .. } => {
+                results.into_iter().for_each(|result| self.list(result));
+            }
             Record::Partials(partials) => {
                 partials.into_iter().for_each(|partial| self.keep(partial));
             }
@@ -199,10 +212,54 @@
         self.next_offset = self.next_offset.max(end_offset);
     }
 
+    /// Returns when a batch was accepted that is known but not loaded.
+    pub fn unloaded(&self, batch: &str) -> Option<u64> {
+        let submitted_unix_ms = self.index.get(batch).copied();
+        submitted_unix_ms.filter(|_| !self.batches.contains_key(batch))
+    }
+
+    /// Returns when the oldest batch was accepted that may still have work to do.
+    pub fn oldest_open_unix_ms(&self, since_unix_ms: u64) -> Option<u64> {
+        self.index
+            .iter()
+            .filter(|(batch, _)| !self.ended.contains(*batch))
+            .map(|(_, submitted_unix_ms)| *submitted_unix_ms)
+            .filter(|submitted_unix_ms| *submitted_unix_ms >= since_unix_ms)
+            .min()
+    }
+
+    /// Keeps the results of a batch that come in while its records are read.
+    pub fn begin_load(&mut self, batch: &Arc<str>) {
+        self.loading.insert(batch.clone());
+    }
+
+    /// Takes in the records of a batch that was not loaded.
+    ///
+    /// Records of others among them are left out: one batch may be read beside another that was
+    /// accepted in the same millisecond, but without its results.
+    pub fn end_load(&mut self, batch: &Arc<str>, mut records: Vec<(u64, Record)>, now_ms: u64) {
+        let next_offset = self.next_offset;
+        records.retain(|(_, record)| record.batch() == Some(batch));
+        records.sort_by_key(|(offset, record)| (rank(record), *offset));
+        // What came in meanwhile stands behind what was read.
+        let meanwhile = std::mem::take(&mut self.orphans);
+        for (offset, record) in records {
+            self.apply(offset, record, now_ms);
+        }
+        self.next_offset = next_offset;
+        meanwhile.into_iter().for_each(|result| self.list(result));
+        self.loading.remove(batch);
+    }
+
     fn open(&mut self, batch: Arc<Batch>, now_ms: u64) {
         if self.batches.contains_key(&batch.id) {
             return;
         }
+        // A second submission has another time: the first one's records hold.
+        let first = self.index.get(&batch.id).copied();
+        if first.is_some_and(|first| first != batch.submitted_unix_ms) {
+            return;
+        }
         let Some(batch) = self.whole(batch) else {
             return;
         };
@@ -212,7 +269,7 @@
             results: Vec::new(),
             listed: HashMap::new(),
             partials: HashMap::new(),
-            ended: false,
+            ended: self.ended.contains(&id),
             seen_ms: now_ms,
         };
         self.batches.insert(id.clone(), state);
@@ -221,9 +278,6 @@
             .partition::<Vec<_>, _>(|result| result.batch == id);
         self.orphans = others;
         own.into_iter().for_each(|result| self.list(result));
-        if self.early_ends.contains(&id) {
-            self.end(id);
-        }
     }
 
     /// Puts a batch together from its parts; `None` while one is missing.
@@ -244,7 +298,9 @@
 
     fn list(&mut self, result: SampleResult) {
         let Some(state) = self.batches.get_mut(&result.batch) else {
-            if self.orphans.len() < MOST_ORPHANS {
+            let wanted = self.loading.contains(&result.batch);
+            let unknown = !self.index.contains_key(&result.batch);
+            if (wanted || unknown) && self.orphans.len() < MOST_ORPHANS {
                 self.orphans.push(result);
             }
             return;
@@ -272,11 +328,10 @@
     }
 
     fn end(&mut self, batch: Arc<str>) {
-        match self.batches.get_mut(&batch) {
-            Some(state) => state.ended = true,
-            None if self.early_ends.len() < MOST_ORPHANS => self.early_ends.push(batch),
-            None => (),
+        if let Some(state) = self.batches.get_mut(&batch) {
+            state.ended = true;
         }
+        self.ended.insert(batch);
     }
 
     fn note_beat(&mut self, beat: Beat, now_ms: u64) {
--- a/flamingoscale/src/fleet/ledger/tests.rs
+++ b/flamingoscale/src/fleet/ledger/tests.rs
@@ -6,7 +6,8 @@
 use crate::fleet::fixtures::{
     batch,
     beat,
-    result, //
+    result,
+    results, //
 };
 
 fn claim(holder: &str, previous: u64) -> Record {
@@ -35,12 +36,12 @@
 fn the_first_result_of_a_sample_holds() {
     let ledger = folded(&[
         batch("b", 1, 2, |_, _| 10),
-        Record::Results(vec![result("b", "s0.1", "first")]),
-        Record::Results(vec![
+        results(vec![result("b", "s0.1", "first")]),
+        results(vec![
             result("b", "s0.1", "second"),
             result("b", "s0.0", "other"),
         ]),
-        Record::Results(vec![result("b", "stranger", "text")]),
+        results(vec![result("b", "stranger", "text")]),
     ]);
     let expected: Vec<(Arc<str>, Arc<str>)> = vec![
         ("s0.1".into(), "first".into()),
@@ -54,7 +55,7 @@
     let first = batch("b", 1, 2, |_, _| 10);
     let ledger = folded(&[
         first.clone(),
-        Record::Results(vec![result("b", "s0.0", "text")]),
+        results(vec![result("b", "s0.0", "text")]),
         first,
     ]);
     assert_eq!(positions(&ledger, "b").len(), 1);
@@ -126,6 +127,62 @@
     assert_eq!(ledger.members["n1"].beat.incarnation, 7);
 }
 
+/// A batch that was over when a process started is read when it is asked for.
+#[test]
+fn a_batch_that_is_loaded_later_lists_the_same() {
+    let opened = |submitted_unix_ms| Record::Opened {
+        batch: "b".into(),
+        submitted_unix_ms,
+    };
+    let records = [
+        opened(1_000),
+        batch("b", 1, 2, |_, _| 10),
+        results(vec![result("b", "s0.1", "first")]),
+        Record::Ended { batch: "b".into() },
+        opened(1_007),
+        results(vec![result("b", "s0.0", "second")]),
+        results(vec![result("b", "s1.0", "third")]),
+    ];
+    let live = folded(&records);
+    let mut late = Ledger::default();
+    for offset in [0, 3, 4] {
+        late.apply(offset, records[offset as usize].clone(), 0);
+    }
+    assert_eq!(
+        (late.unloaded("b"), late.oldest_open_unix_ms(0)),
+        (Some(1_000), None)
+    );
+    late.begin_load(&"b".into());
+    // One result was read with the batch, one both ways, one only from the topic meanwhile.
+    late.apply(5, records[5].clone(), 0);
+    late.apply(6, records[6].clone(), 0);
+    let read = [5, 1, 2].map(|offset| (offset, records[offset as usize].clone()));
+    // Another batch of the same millisecond stands beside it in the store.
+    let neighbour = (9, batch("a", 1, 2, |_, _| 10));
+    late.end_load(&"b".into(), [&read[..], &[neighbour]].concat(), 0);
+    assert!(!late.batches.contains_key("a"));
+    assert_eq!(positions(&late, "b"), positions(&live, "b"));
+    assert!(late.batches["b"].ended && late.unloaded("b").is_none());
+    assert_eq!(late.next_offset, 7);
+}
+
+/// A process that started after a batch was over took a second submission of it for a new batch,
+/// and listed nothing.
+#[test]
+fn a_second_submission_of_a_batch_that_is_not_loaded_opens_nothing() {
+    let opened = |submitted_unix_ms| Record::Opened {
+        batch: "b".into(),
+        submitted_unix_ms,
+    };
+    let mut late = Ledger::default();
+    late.apply(0, opened(400), 0);
+    late.apply(3, Record::Ended { batch: "b".into() }, 0);
+    late.apply(4, opened(1_000), 0);
+    late.apply(5, batch("b", 1, 2, |_, _| 10), 0);
+    assert!(late.batches.is_empty());
+    assert_eq!(late.unloaded("b"), Some(400));
+}
+
 /// What the store keeps: the newest record of each key, with its offset.
 fn kept(records: &[Record]) -> Vec<(u64, Record)> {
     let mut newest = HashMap::new();
@@ -144,7 +201,7 @@
         2 => (0..3_u64).prop_map(|id| batch(&format!("b{id}"), id, 3, |_, _| 10)),
         6 => (0..3_u64, 0..3_usize, 0..2_usize, 0..100_u32).prop_map(|(id, group, index, text)| {
             let sample = format!("s{group}.{index}");
-            Record::Results(vec![result(&format!("b{id}"), &sample, &text.to_string())])
+            results(vec![result(&format!("b{id}"), &sample, &text.to_string())])
         }),
         1 => (0..3_u64).prop_map(|id| Record::Ended { batch: format!("b{id}").into() }),
         1 => (1..9_u64).prop_map(|incarnation| beat("n1", incarnation)),
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -94,14 +94,20 @@
         self.samples = parts.pop().unwrap_or_default();
         self.earlier_parts = u32::try_from(parts.len()).unwrap_or(u32::MAX);
         let id = self.id.clone();
+        let submitted_unix_ms = self.submitted_unix_ms;
         let mut records: Vec<Record> = (0..)
             .zip(parts)
             .map(|(part, samples)| Record::BatchPart {
                 batch: id.clone(),
+                submitted_unix_ms,
                 part,
                 samples,
             })
             .collect();
+        records.push(Record::Opened {
+            batch: id,
+            submitted_unix_ms,
+        });
         records.push(Record::Batch(Arc::new(self)));
         records
     }
@@ -175,13 +181,27 @@
     BatchPart {
         /// The batch.
         batch: Arc<str>,
+        /// When it was accepted.
+        submitted_unix_ms: u64,
         /// Place among the parts, from 0.
         part: u32,
         /// The samples.
         samples: Vec<Sample>,
     },
-    /// Samples are finished. The first record of a sample holds.
-    Results(Vec<SampleResult>),
+    /// A batch was accepted: where a process that starts finds it.
+    Opened {
+        /// The batch.
+        batch: Arc<str>,
+        /// When it was accepted; part of the keys of its records.
+        submitted_unix_ms: u64,
+    },
+    /// Samples of one batch are finished. The first record of a sample holds.
+    Results {
+        /// When the batch was accepted.
+        submitted_unix_ms: u64,
+        /// The samples.
+        results: Vec<SampleResult>,
+    },
     /// Text of unfinished samples. The longest one holds.
     Partials(Vec<Partial>),
     /// A batch is over: no sample of it may start any more.
@@ -258,6 +278,16 @@
 }
 
 impl Record {
+    /// Returns the batch whose samples or results the record holds.
+    pub fn batch(&self) -> Option<&Arc<str>> {
+        match self {
+            Self::Batch(batch) => Some(&batch.id),
+            Self::BatchPart { batch, .. } => Some(batch),
+            Self::Results { results, .. } => results.first().map(|result| &result.batch),
+            _ => None,
+        }
+    }
+
     /// Encodes the record.
     ///
     /// # Errors
@@ -287,29 +317,67 @@
     /// Returns the key under which the store keeps the record.
     ///
     /// Records whose first occurrence decides get a key that no other record has (`writer` and
-    /// `serial`), so that the store never replaces one of them; see
-    /// `docs/design/shared-store.md`.
+    /// `serial`), so that the store never replaces one of them. Small records come first, large
+    /// ones in the order of their batches' age, so that a process that starts reads the small ones
+    /// and the batches of the last minute only; see `docs/design/shared-store.md`.
     pub fn key(&self, writer: &str, serial: u64) -> String {
         match self {
-            Self::Batch(batch) => format!("b/{}", batch.id),
-            Self::BatchPart { batch, part, .. } => format!("c/{batch}/{part}"),
-            Self::Results(_) => format!("r/{writer}/{serial}"),
-            Self::Partials(_) => format!("t/{writer}"),
-            Self::Ended { batch } => format!("e/{batch}"),
-            Self::Beat(beat) => format!("m/{}", beat.instance),
+            Self::Batch(batch) => batch_key(batch.submitted_unix_ms, &batch.id),
+            Self::BatchPart {
+                batch,
+                submitted_unix_ms,
+                part,
+                ..
+            } => format!("{}/{part}", batch_key(*submitted_unix_ms, batch)),
+            Self::Results {
+                submitted_unix_ms,
+                results,
+            } => {
+                let batch = results.first().map_or("", |result| &*result.batch);
+                format!(
+                    "{}{writer}/{serial}",
+                    results_key(*submitted_unix_ms, batch)
+                )
+            }
+            Self::Partials(_) => {
+                let instance = writer.split('/').next().unwrap_or(writer);
+                format!("{TEXT_KEYS}{instance}")
+            }
+            Self::Opened { batch, .. } => format!("a/o/{batch}/{writer}/{serial}"),
+            Self::Ended { batch } => format!("a/e/{batch}"),
+            Self::Beat(beat) => format!("a/m/{}", beat.instance),
             Self::Claim { lease, holder, .. }
             | Self::Renewal { lease, holder, .. }
-            | Self::Release { lease, holder, .. } => format!("l/{lease}/{holder}"),
+            | Self::Release { lease, holder, .. } => format!("a/l/{lease}/{holder}"),
             Self::Counts {
                 instance,
                 incarnation,
                 window,
                 ..
-            } => format!("u/{window}/{instance}/{incarnation}"),
-            Self::Window { window, .. } => format!("w/{window}/{writer}"),
-            Self::Reported { window } => format!("d/{window}"),
-            Self::Suspect { .. } => format!("q/{writer}/{serial}"),
-            Self::Plan { .. } => "p".to_owned(),
+            } => format!("a/u/{window}/{instance}/{incarnation}"),
+            Self::Window { window, .. } => format!("a/w/{window}/{writer}"),
+            Self::Reported { window } => format!("a/d/{window}"),
+            Self::Suspect { .. } => format!("a/q/{writer}/{serial}"),
+            Self::Plan { .. } => "a/p".to_owned(),
         }
     }
 }
+
+/// Keys from here on belong to batches; before them are the small records.
+pub const BATCH_KEYS: &str = "b/";
+
+/// Keys from here on belong to results.
+pub const RESULT_KEYS: &str = "r/";
+
+/// Keys from here on belong to texts of unfinished samples.
+pub const TEXT_KEYS: &str = "t/";
+
+/// Returns where the keys of a batch begin.
+pub fn batch_key(submitted_unix_ms: u64, batch: &str) -> String {
+    format!("{BATCH_KEYS}{submitted_unix_ms:013}/{batch}")
+}
+
+/// Returns where the keys of a batch's results begin.
+pub fn results_key(submitted_unix_ms: u64, batch: &str) -> String {
+    format!("{RESULT_KEYS}{submitted_unix_ms:013}/{batch}/")
+}
--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -7,7 +7,8 @@
         beat,
         endpoints,
         listing,
-        result, //
+        result,
+        results, //
     },
     record::Record, //
 };
@@ -116,7 +117,7 @@
 #[test]
 fn nothing_starts_for_listed_samples_ended_batches_and_models_of_others() {
     let endpoints = endpoints(&[listing("e1", "saiq", 1)]);
-    let listed = Record::Results(vec![
+    let listed = results(vec![
         result("b", "s0.0", "text"),
         result("b", "s0.1", "text"),
     ]);
