--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -70,7 +70,12 @@
 }
 
 pub(crate) fn beat(instance: &str, incarnation: u64) -> Record {
+    beat_with(instance, incarnation, 500)
+}
+
+pub(crate) fn beat_with(instance: &str, incarnation: u64, millicores: u32) -> Record {
     Record::Beat(Beat {
+        millicores,
         instance: instance.into(),
         incarnation,
         address: "10.1.0.7:8405".into(),
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -166,6 +166,8 @@
     pub address: Arc<str>,
     /// Its failure domain.
     pub failure_domain: Arc<str>,
+    /// Its share of a processor core, in thousandths.
+    pub millicores: u32,
     /// Whether it takes callers.
     pub ready: bool,
     /// Whether it is shutting down.
--- a/flamingoscale/src/fleet/tenure.rs
+++ b/flamingoscale/src/fleet/tenure.rs
@@ -3,7 +3,10 @@
 //! The holder counts from before it sent its last renewal, everyone else from when they read it,
 //! so no two clocks are compared; see `docs/design/shared-store.md`.
 
-use std::sync::Arc;
+use std::{
+    cmp::Reverse,
+    sync::Arc, //
+};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -62,19 +65,22 @@
 }
 
 /// Returns the instances that take callers or work, in the order of succession for a lease.
+///
+/// Large instances go first: who runs the samples of a model reads some hundred events a second.
 pub fn succession(ledger: &Ledger, lease: &str, now_ms: u64) -> Vec<Arc<str>> {
-    let mut alive: Vec<(u64, Arc<str>)> = ledger
+    let mut alive: Vec<(Reverse<u32>, u64, Arc<str>)> = ledger
         .members
         .values()
         .filter(|member| now_ms.saturating_sub(member.seen_ms) < MEMBER_MS)
         .filter(|member| member.beat.ready && !member.beat.leaving)
         .map(|member| {
             let name = &member.beat.instance;
-            (xxh3_64(format!("{lease}\n{name}").as_bytes()), name.clone())
+            let draw = xxh3_64(format!("{lease}\n{name}").as_bytes());
+            (Reverse(member.beat.millicores), draw, name.clone())
         })
         .collect();
     alive.sort();
-    alive.into_iter().map(|(_, name)| name).collect()
+    alive.into_iter().map(|(_, _, name)| name).collect()
 }
 
 /// Returns the term that a claim must name, if the instance should claim the lease now.
--- a/flamingoscale/src/fleet/tenure/tests.rs
+++ b/flamingoscale/src/fleet/tenure/tests.rs
@@ -2,7 +2,10 @@
 
 use super::*;
 use crate::fleet::{
-    fixtures::beat,
+    fixtures::{
+        beat,
+        beat_with, //
+    },
     record::Record, //
 };
 
@@ -107,6 +110,22 @@
     assert_eq!(claim(&ledger, LEASE, ORDERS, &other, 100_000), None);
 }
 
+/// On the grown sites small instances (0.12 of a core) ran the samples of a whole model.
+#[test]
+fn large_instances_go_first() {
+    let mut ledger = ledger(&[], 0);
+    for (offset, (instance, millicores)) in [("n1", 120), ("n2", 500), ("n3", 120), ("n4", 500)]
+        .into_iter()
+        .enumerate()
+    {
+        ledger.apply(offset as u64, beat_with(instance, 1, millicores), 0);
+    }
+    let line = succession(&ledger, LEASE, 0);
+    let mut first = [&*line[0], &*line[1]];
+    first.sort();
+    assert_eq!(first, ["n2", "n4"]);
+}
+
 #[test]
 fn the_silent_and_the_unknown_stay_out_of_line() {
     let ledger = ledger(&["n1"], 0);
