--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -53,6 +53,8 @@
     pub refused_until_ms: u64,
     /// Smoothed time to an answer; 0 where none was seen.
     pub answer_ms: f64,
+    /// Smoothed time between two events of a stream; 0 where none was seen.
+    pub event_ms: f64,
 }
 
 /// How long an endpoint is chosen last after its first failure; doubles with each further one.
@@ -129,6 +131,7 @@
             shunned_until_ms: 0,
             refused_until_ms: 0,
             answer_ms: 0.0,
+            event_ms: 0.0,
         });
     }
 
@@ -191,6 +194,19 @@
         };
     }
 
+    /// Notes how long a stream took for a number of events.
+    pub fn streamed(&mut self, key: EndpointKey, events: u64, took_ms: u64) {
+        if events == 0 {
+            return;
+        }
+        let endpoint = &mut self.arena[key.0 as usize];
+        let news = took_ms as f64 / events as f64;
+        endpoint.event_ms = match endpoint.event_ms {
+            0.0 => news,
+            known => known + SMOOTHING * (news - known),
+        };
+    }
+
     /// Notes that the endpoint gave no whole answer.
     pub fn failed(&mut self, key: EndpointKey, now_ms: u64) {
         let endpoint = &mut self.arena[key.0 as usize];
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -38,6 +38,11 @@
 /// Cost of an engine that serves another model first, in shares of a full engine.
 const UNPLANNED: f64 = 0.6;
 
+/// Cost of an engine that makes events at half the usual pace, and the most that slowness costs:
+/// a slow engine still helps with less than half of its slots.
+const SLOW: f64 = 0.4;
+const SLOWEST: f64 = 0.6;
+
 /// Cost of an engine that failed lately.
 const SHUNNED: f64 = 3.0;
 
@@ -198,6 +203,17 @@
     order
 }
 
+/// Returns the median time between two events of a service's engines.
+fn usual_event_ms(endpoints: &Endpoints, service: &str) -> f64 {
+    let mut paces: Vec<f64> = endpoints
+        .of_service(service)
+        .map(|(_, endpoint)| endpoint.event_ms)
+        .filter(|pace| *pace > 0.0)
+        .collect();
+    paces.sort_by(f64::total_cmp);
+    paces.get(paces.len() / 2).copied().unwrap_or(f64::INFINITY)
+}
+
 /// Picks the engine with the most room whose weights are new enough.
 fn engine(
     ledger: &Ledger,
@@ -208,6 +224,7 @@
     now_ms: u64,
 ) -> Option<EndpointKey> {
     let model = &state.batch.model;
+    let usual_ms = usual_event_ms(endpoints, service);
     let cost = |key: EndpointKey, endpoint: &Endpoint| {
         let here = endpoint.in_flight + taken.get(&key).copied().unwrap_or(0);
         let slots = endpoint.listing.slots.max(1);
@@ -218,7 +235,9 @@
         } else {
             0.0
         };
-        let cost = f64::from(here) / f64::from(slots) + unplanned;
+        let slower = (endpoint.event_ms / usual_ms - 1.0).max(0.0);
+        let slow = (SLOW * slower).min(SLOWEST);
+        let cost = f64::from(here) / f64::from(slots) + unplanned + slow;
         (here < slots && cost < 1.0).then_some(cost + shunned)
     };
     endpoints
--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -147,3 +147,22 @@
     let started = starts(&mut Sampler::default(), &ledger, &endpoints, 0);
     assert!(!started.is_empty() && started.iter().all(|start| start.endpoint != refusing));
 }
+
+/// Engines that turn slow kept getting as many samples as the others, and their groups came late.
+#[test]
+fn a_slow_engine_gets_fewer_samples() {
+    let ledger = ledger(vec![plan(&["e1", "e2", "e3"]), batch("b", 1, 4, |_, _| 10)]);
+    let names = ["e1", "e2", "e3"];
+    let mut endpoints = endpoints(&names.map(|id| listing(id, "saiq", 1)));
+    for (id, took_ms) in names.into_iter().zip([40, 40, 160]) {
+        let key = endpoints.find(id).unwrap();
+        endpoints.streamed(key, 1, took_ms);
+    }
+    let slow = endpoints.find("e3").unwrap();
+    let started = starts(&mut Sampler::default(), &ledger, &endpoints, 0);
+    let at_slow = started
+        .iter()
+        .filter(|start| start.endpoint == slow)
+        .count();
+    assert_eq!((started.len(), at_slow), (8, 1));
+}
