--- a/flamingoscale/src/fleet/configuration.rs
+++ b/flamingoscale/src/fleet/configuration.rs
@@ -37,8 +37,6 @@
     pub max_attempts: u32,
     /// Whether no key is needed.
     pub public: bool,
-    /// Whether a stream may go on at another endpoint.
-    pub resumable: bool,
     /// Whether a sample's text must come from one version of the weights.
     pub single_version: bool,
     /// A sample may be given up this long after its batch was submitted.
@@ -54,26 +52,13 @@
     pub models: Vec<Arc<str>>,
 }
 
-/// Limits on the number of a service's endpoints in each failure domain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Scaling {
-    /// Fewest.
-    pub min: u32,
-    /// Most.
-    pub max: u32,
-}
-
 /// One service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
     /// Its name.
     pub name: Arc<str>,
-    /// Connections that one endpoint takes from all instances together.
-    pub max_connections: u32,
     /// Set for model engines.
     pub engines: Option<Engines>,
-    /// Set where endpoints can be ordered.
-    pub scaling: Option<Scaling>,
 }
 
 /// One whole configuration.
--- a/flamingoscale/src/fleet/configuration/tests.rs
+++ b/flamingoscale/src/fleet/configuration/tests.rs
@@ -12,7 +12,6 @@
         services: vec![("a".into(), 90), ("b".into(), 10)],
         max_attempts: 2,
         public,
-        resumable: false,
         single_version: false,
         retention_ms: 40_000,
     })
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -28,8 +28,6 @@
     pub versions: HashMap<Arc<str>, u64>,
     /// Unix milliseconds of its start; tells incarnations under one id apart.
     pub started_unix_ms: u64,
-    /// Whether the platform may take it back at short notice.
-    pub reclaimable: bool,
 }
 
 /// One endpoint.
