Bound the texts of unfinished samples by the store's reading rate

Ruled out: processor time (0.017 cores at most), memory (47 MB). What binds next on sites of that size: every instance reads every result, about 64 MB/s there.

--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -162,6 +162,16 @@
     }
 }
 
+/// Share of the store's reading rate that texts of unfinished samples may take up.
+const TEXT_SHARE: f64 = 0.1;
+
+/// Returns how many bytes of unfinished texts the holder of one model's samples may write in a
+/// second: every instance reads them, and all share the store's rate.
+pub fn text_bytes_per_s(read_bytes_per_s: f64, instances: usize, models: usize) -> usize {
+    let readers = (instances.max(1) * models.max(1)) as f64;
+    (read_bytes_per_s * TEXT_SHARE / readers) as usize
+}
+
 /// Returns the places of a batch's samples in the order in which they should start.
 pub fn starting_order(state: &BatchState, ledger: &Ledger) -> Vec<usize> {
     let samples = &state.batch.samples;
