Keep the texts of samples in topics of their own, read where they are asked for

Cause: results carried their texts in the topic that every instance follows.

Now a result names the key of its text; texts and unfinished texts stand in keyed.texts (8 partitions) and keyed.unfinished, read on demand with a bounded cache. A text is acknowledged before the result that names it is sent.

text_bytes_per_s and its test go: it divided the unfinished texts among all instances because all read them; only the next holder does now. The test of the longest text moves to fleet/texts/tests.rs with the rule it checks. Also: 'finished' is one flag of a sample's progress; BatchState.seen_ms goes.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -15,4 +15,5 @@
 pub mod record;
 pub mod sampling;
 pub mod tenure;
+pub mod texts;
 pub mod usage;
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -17,7 +17,8 @@
         Sample,
         SampleEnd,
         SampleResult, //
-    }, //
+    },
+    texts::TextPlace, //
 };
 
 /// A batch of `groups` groups of two samples; sample `s<g>.<i>` is expected to take `tokens(g, i)`.
@@ -57,7 +58,11 @@
         batch: batch.into(),
         sample: sample.into(),
         end: SampleEnd::Complete,
-        text: text.into(),
+        text: Some(TextPlace {
+            key: text.into(),
+            place: 0,
+            bytes: 10,
+        }),
         versions: vec![1],
     }
 }
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -16,7 +16,6 @@
 use super::record::{
     Batch,
     Beat,
-    Partial,
     Record,
     Sample,
     SampleResult, //
@@ -35,12 +34,8 @@
     pub results: Vec<Rc<SampleResult>>,
     /// Positions by sample.
     pub listed: HashMap<Arc<str>, usize>,
-    /// The longest known text of unfinished samples.
-    pub partials: HashMap<Arc<str>, Rc<Partial>>,
     /// Whether it is over.
     pub ended: bool,
-    /// When this instance first read of it, in its monotonic milliseconds.
-    pub seen_ms: u64,
 }
 
 impl BatchState {
@@ -58,7 +53,6 @@
         if !known || self.listed.contains_key(&result.sample) {
             return;
         }
-        self.partials.remove(&result.sample);
         self.listed
             .insert(result.sample.clone(), self.results.len());
         self.results.push(Rc::new(result));
@@ -122,8 +116,8 @@
     pub plan: HashMap<Arc<str>, Arc<str>>,
     /// When each batch was accepted, also those that are not loaded.
     pub index: HashMap<Arc<str>, u64>,
-    /// Where the text of a sample was last listed, whatever the batch.
-    pub texts: HashMap<Arc<str>, Rc<SampleResult>>,
+    /// The last result of a sample, whatever the batch.
+    pub last_results: HashMap<Arc<str>, Rc<SampleResult>>,
     parts: HashMap<(Arc<str>, u32), Vec<Sample>>,
     orphans: Vec<SampleResult>,
     ended: HashSet<Arc<str>>,
@@ -135,7 +129,7 @@
     pub fn apply(&mut self, offset: u64, record: Record, now_ms: u64) {
         self.next_offset = self.next_offset.max(offset + 1);
         match record {
-            Record::Batch(batch) => self.open(batch, now_ms),
+            Record::Batch(batch) => self.open(batch),
             Record::BatchPart {
                 batch,
                 part,
@@ -155,9 +149,6 @@
             Record::Results { results, .. } => {
                 results.into_iter().for_each(|result| self.list(result));
             }
-            Record::Partials(partials) => {
-                partials.into_iter().for_each(|partial| self.keep(partial));
-            }
             Record::Ended { batch } => self.end(batch),
             Record::Beat(beat) => self.note_beat(beat, now_ms),
             Record::Claim {
@@ -251,7 +242,7 @@
         self.loading.remove(batch);
     }
 
-    fn open(&mut self, batch: Arc<Batch>, now_ms: u64) {
+    fn open(&mut self, batch: Arc<Batch>) {
         if self.batches.contains_key(&batch.id) {
             return;
         }
@@ -268,9 +259,7 @@
             batch,
             results: Vec::new(),
             listed: HashMap::new(),
-            partials: HashMap::new(),
             ended: self.ended.contains(&id),
-            seen_ms: now_ms,
         };
         self.batches.insert(id.clone(), state);
         let (own, others) = std::mem::take(&mut self.orphans)
@@ -308,22 +297,8 @@
         let before = state.results.len();
         state.list(result);
         if let Some(listed) = state.results.get(before) {
-            self.texts.insert(listed.sample.clone(), listed.clone());
-        }
-    }
-
-    fn keep(&mut self, partial: Partial) {
-        let Some(state) = self.batches.get_mut(&partial.batch) else {
-            return;
-        };
-        let shorter = state
-            .partials
-            .get(&partial.sample)
-            .is_none_or(|known| known.last_event < partial.last_event);
-        if shorter && !state.listed.contains_key(&partial.sample) {
-            state
-                .partials
-                .insert(partial.sample.clone(), Rc::new(partial));
+            self.last_results
+                .insert(listed.sample.clone(), listed.clone());
         }
     }
 
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -8,10 +8,13 @@
     Error, //
 };
 use serde::{
+    de::DeserializeOwned,
     Deserialize,
     Serialize, //
 };
 
+use super::texts::TextPlace;
+
 /// The result of encoding or decoding a record.
 pub type Result<T> = std::result::Result<T, RecordError>;
 
@@ -125,7 +128,7 @@
     Failed,
 }
 
-/// The final result of a sample.
+/// The final result of a sample. Its text is kept apart: see [`super::texts`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SampleResult {
     /// The batch.
@@ -134,8 +137,8 @@
     pub sample: Arc<str>,
     /// How it ended.
     pub end: SampleEnd,
-    /// Data of all events, separated by line feeds.
-    pub text: Arc<str>,
+    /// Where its text is; `None` for a sample that was given up.
+    pub text: Option<TextPlace>,
     /// All versions of the weights that made an event of the text.
     pub versions: Vec<u64>,
 }
@@ -204,8 +207,6 @@
         /// The samples.
         results: Vec<SampleResult>,
     },
-    /// Text of unfinished samples. The longest one holds.
-    Partials(Vec<Partial>),
     /// A batch is over: no sample of it may start any more.
     Ended {
         /// The batch.
@@ -296,11 +297,7 @@
     ///
     /// [`RecordError`] when the codec refuses it.
     pub fn encode(&self) -> Result<Vec<u8>> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard()).map_err(|error| {
-            RecordError {
-                reason: error.to_string(),
-            }
-        })
+        encode(self)
     }
 
     /// Reads a record.
@@ -309,11 +306,7 @@
     ///
     /// [`RecordError`] when the bytes are no record.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-            .map(|(record, _)| record)
-            .map_err(|error| RecordError {
-                reason: error.to_string(),
-            })
+        decode(bytes)
     }
 
     /// Returns the key under which the store keeps the record.
@@ -341,10 +334,6 @@
                     results_key(*submitted_unix_ms, batch)
                 )
             }
-            Self::Partials(_) => {
-                let instance = writer.split('/').next().unwrap_or(writer);
-                format!("{TEXT_KEYS}{instance}")
-            }
             Self::Opened { batch, .. } => format!("a/o/{batch}/{writer}/{serial}"),
             Self::Ended { batch } => format!("a/e/{batch}"),
             Self::Beat(beat) => format!("a/m/{}", beat.instance),
@@ -365,15 +354,36 @@
     }
 }
 
+/// Encodes a value of the store.
+///
+/// # Errors
+///
+/// [`RecordError`] when the codec refuses it.
+pub fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>> {
+    bincode::serde::encode_to_vec(value, bincode::config::standard()).map_err(|error| RecordError {
+        reason: error.to_string(),
+    })
+}
+
+/// Reads a value of the store.
+///
+/// # Errors
+///
+/// [`RecordError`] when the bytes are no such value.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+        .map(|(value, _)| value)
+        .map_err(|error| RecordError {
+            reason: error.to_string(),
+        })
+}
+
 /// Keys from here on belong to batches; before them are the small records.
 pub const BATCH_KEYS: &str = "b/";
 
 /// Keys from here on belong to results.
 pub const RESULT_KEYS: &str = "r/";
 
-/// Keys from here on belong to texts of unfinished samples.
-pub const TEXT_KEYS: &str = "t/";
-
 /// Returns where the keys of a batch begin.
 pub fn batch_key(submitted_unix_ms: u64, batch: &str) -> String {
     format!("{BATCH_KEYS}{submitted_unix_ms:013}/{batch}")
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -57,6 +57,8 @@
     pub idle_tries: u32,
     /// No try before this, in monotonic milliseconds.
     pub not_before_ms: u64,
+    /// Whether its result is on the way to the store.
+    pub finished: bool,
 }
 
 /// One sample to start.
@@ -133,7 +135,8 @@
                 }
                 let id = (state.batch.id.clone(), sample.id.clone());
                 let progress = self.progress.entry(id.clone()).or_default();
-                if !progress.running.is_empty() || now_ms < progress.not_before_ms {
+                let waits = progress.finished || now_ms < progress.not_before_ms;
+                if waits || !progress.running.is_empty() {
                     continue;
                 }
                 let Some(service) = service(state, sample) else {
@@ -162,16 +165,6 @@
     }
 }
 
-/// Share of the store's reading rate that texts of unfinished samples may take up.
-const TEXT_SHARE: f64 = 0.1;
-
-/// Returns how many bytes of unfinished texts the holder of one model's samples may write in a
-/// second: every instance reads them, and all share the store's rate.
-pub fn text_bytes_per_s(read_bytes_per_s: f64, instances: usize, models: usize) -> usize {
-    let readers = (instances.max(1) * models.max(1)) as f64;
-    (read_bytes_per_s * TEXT_SHARE / readers) as usize
-}
-
 /// Returns the places of a batch's samples in the order in which they should start.
 pub fn starting_order(state: &BatchState, ledger: &Ledger) -> Vec<usize> {
     let samples = &state.batch.samples;
--- /dev/null
+++ b/flamingoscale/src/fleet/texts/tests.rs
@@ -0,0 +1,130 @@
+//! Texts are found under the keys that results name, and read by few.
+
+use proptest::prelude::*;
+
+use super::*;
+use crate::fleet::{
+    fixtures::{
+        batch,
+        result,
+        results, //
+    },
+    record::Record, //
+};
+
+fn key(time: u64, batch: &str, writer: &str, serial: u64) -> Arc<str> {
+    text_key(time, batch, writer, serial).into()
+}
+
+fn covers(range: &KeyRange, key: &str) -> bool {
+    *key > *range.after && *key < *range.before
+}
+
+#[test]
+fn keys_of_one_batch_are_in_one_partition() {
+    let first = partition(&key(7, "b", "n1-5", 0));
+    assert_eq!(partition(&key(7, "b", "n2-9", 31)), first);
+    let used: std::collections::HashSet<u32> = (0..100)
+        .map(|time| partition(&key(time, "b", "n1-5", 0)))
+        .collect();
+    assert_eq!(used.len() as u32, PARTITIONS);
+}
+
+#[test]
+fn one_key_is_read_without_its_neighbours() {
+    for serial in [0, 1, 9, 10, 99, 100] {
+        let range = ranges(vec![key(7, "b", "n1-5", serial)]).remove(0);
+        assert!(covers(&range, &key(7, "b", "n1-5", serial)));
+        assert!(!covers(&range, &key(7, "b", "n1-5", serial + 1)));
+        assert!(serial == 0 || !covers(&range, &key(7, "b", "n1-5", serial - 1)));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    #[test]
+    fn ranges_cover_the_keys_and_no_other_writer(
+        wanted in proptest::collection::vec((0..2_usize, 0..300_u64), 1..20),
+    ) {
+        let writers = ["n1-5", "n2-9"];
+        let keys = wanted.iter().map(|(writer, serial)| key(7, "b", writers[*writer], *serial));
+        let found = ranges(keys.clone().collect());
+        for key in keys {
+            prop_assert_eq!(found.iter().filter(|range| covers(range, &key)).count(), 1);
+        }
+        prop_assert!(found.len() <= 2);
+        prop_assert!(!found.iter().any(|range| covers(range, &key(7, "c", "n1-5", 3))));
+    }
+}
+
+fn left(sample: &str, last_event: u64) -> Partial {
+    Partial {
+        batch: "b".into(),
+        sample: sample.into(),
+        last_event,
+        text: format!("{last_event} events").into(),
+        versions: vec![1],
+    }
+}
+
+/// Two instances may have left texts of one sample, in any order.
+#[test]
+fn the_longest_text_of_an_unfinished_sample_holds() {
+    let mut ledger = Ledger::default();
+    ledger.apply(0, batch("b", 1, 2, |_, _| 10), 0);
+    ledger.apply(1, results(vec![result("b", "s0.1", "whole")]), 0);
+    let mut known = HashMap::from([(("b".into(), "s1.0".into()), left("s1.0", 5))]);
+    let others = [
+        left("s0.0", 3),
+        left("s0.0", 2),
+        left("s1.0", 4),
+        left("s0.1", 9),
+    ];
+    take_over(&mut known, others, &ledger);
+    let events = |sample: &str| {
+        let known = known.get(&("b".into(), sample.into()));
+        known.map(|partial: &Partial| partial.last_event)
+    };
+    assert_eq!(
+        (events("s0.0"), events("s1.0"), events("s0.1")),
+        (Some(3), Some(5), None)
+    );
+    ledger.apply(2, Record::Ended { batch: "b".into() }, 0);
+    let mut known = HashMap::new();
+    take_over(&mut known, [left("s0.0", 3)], &ledger);
+    assert!(known.is_empty());
+}
+
+#[test]
+fn an_answer_holds_at_least_one_result_and_at_most_its_size() {
+    let listed: Vec<SampleResult> = (0..9)
+        .map(|place| {
+            let mut one = result("b", &format!("s{place}.0"), "key");
+            one.text.as_mut().unwrap().bytes = 800;
+            one
+        })
+        .collect();
+    assert_eq!(page_length(listed.iter(), 3_000), 3);
+    assert_eq!(page_length(listed.iter(), 10), 1);
+    assert_eq!(page_length([].iter(), 10), 0);
+}
+
+/// Each result stayed in the memory of each instance for as long as it ran.
+#[test]
+fn the_cache_keeps_its_bound() {
+    let mut cache = Cache::new(100);
+    for serial in 0..50 {
+        cache.put(
+            key(7, "b", "n1-5", serial),
+            vec!["0123456789".into(); 3].into(),
+        );
+        cache.put(
+            key(7, "b", "n1-5", serial),
+            vec!["0123456789".into(); 3].into(),
+        );
+    }
+    let kept = (0..50).filter(|serial| cache.get(&key(7, "b", "n1-5", *serial)).is_some());
+    assert_eq!(kept.collect::<Vec<_>>(), [47, 48, 49]);
+    assert!(cache.bytes <= 100);
+}
