Apply the configuration's limit on headers, refuse large bodies by their named length

Cause: only bodies were checked, and only as they came; 431 was left to the HTTP library, whose own limit is far higher. Also: Endpoints::works instead of an answer that took 0 ms; Engines.slots, which nothing read, goes.

--- a/flamingoscale/src/fleet/configuration.rs
+++ b/flamingoscale/src/fleet/configuration.rs
@@ -46,8 +46,6 @@
 /// What a service's engines serve.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Engines {
-    /// Requests that run at once.
-    pub slots: u32,
     /// The models, in the operator's order.
     pub models: Vec<Arc<str>>,
 }
@@ -72,8 +70,34 @@
     pub services: HashMap<Arc<str>, Service>,
     /// Organisations by key; `None` where the operator uses no keys.
     pub keys: Option<HashMap<Arc<str>, Arc<str>>>,
-    /// Largest request body.
-    pub max_body_bytes: usize,
+    /// What a caller may send.
+    pub limits: Limits,
+}
+
+/// The largest request that a caller may send.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Names and values of all headers.
+    pub header_bytes: usize,
+    /// The body.
+    pub body_bytes: usize,
+}
+
+impl Limits {
+    /// Checks a request of which so many bytes are known.
+    ///
+    /// # Errors
+    ///
+    /// [`Denial`] for the part that is too large.
+    pub fn check(&self, header_bytes: usize, body_bytes: usize) -> Result<(), Denial> {
+        if header_bytes > self.header_bytes {
+            return Err(Denial::LargeHeaders);
+        }
+        match body_bytes > self.body_bytes {
+            true => Err(Denial::LargeBody),
+            false => Ok(()),
+        }
+    }
 }
 
 /// Why a request is not let in.
@@ -83,6 +107,10 @@
     NoRoute,
     /// The key is missing or unknown.
     UnknownKey,
+    /// The headers are over the limit.
+    LargeHeaders,
+    /// The body is over the limit.
+    LargeBody,
 }
 
 impl Configuration {
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -181,11 +181,17 @@
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
     }
 
-    /// Notes an answer.
-    pub fn answered(&mut self, key: EndpointKey, took_ms: f64) {
+    /// Notes that the endpoint does its work, so that former failures count no more.
+    pub fn works(&mut self, key: EndpointKey) {
         let endpoint = &mut self.arena[key.0 as usize];
         endpoint.failures = 0;
         endpoint.shunned_until_ms = 0;
+    }
+
+    /// Notes an answer.
+    pub fn answered(&mut self, key: EndpointKey, took_ms: f64) {
+        self.works(key);
+        let endpoint = &mut self.arena[key.0 as usize];
         endpoint.answer_ms = match endpoint.answer_ms {
             0.0 => took_ms,
             known => known + SMOOTHING * (took_ms - known),
