Runs leave engines that are slow or silent, where another one has room

Throughput was not the cause: a third of the slots were busy.

A run is judged by its smoothed time between events against the service's median (fleet/moving.rs) and goes on elsewhere from its last event. An engine's own pace no longer counts the wait for the first event.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -12,6 +12,7 @@
 pub(crate) mod fixtures;
 pub mod ledger;
 pub mod loads;
+pub mod moving;
 pub mod record;
 pub mod sampling;
 pub mod tenure;
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -5,6 +5,8 @@
     sync::Arc, //
 };
 
+use super::moving::Pace;
+
 /// Names an endpoint's place in [`Endpoints`]. Places are never reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct EndpointKey(u32);
@@ -198,13 +200,12 @@
         };
     }
 
-    /// Notes how long a stream took for a number of events.
-    pub fn streamed(&mut self, key: EndpointKey, events: u64, took_ms: u64) {
-        if events == 0 {
+    /// Notes the time between two events of a stream.
+    pub fn streamed(&mut self, key: EndpointKey, pace: &Pace) {
+        let Some(news) = pace.event_ms() else {
             return;
-        }
+        };
         let endpoint = &mut self.arena[key.0 as usize];
-        let news = took_ms as f64 / events as f64;
         endpoint.event_ms = match endpoint.event_ms {
             0.0 => news,
             known => known + SMOOTHING * (news - known),
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -59,6 +59,10 @@
     pub not_before_ms: u64,
     /// Whether its result is on the way to the store.
     pub finished: bool,
+    /// The engine that it left last; it doesn't go back there.
+    pub left: Option<EndpointKey>,
+    /// How often it left an engine.
+    pub moves: u32,
 }
 
 /// One sample to start.
@@ -142,8 +146,17 @@
                 let Some(service) = service(state, sample) else {
                     continue;
                 };
-                let Some(endpoint) = engine(ledger, endpoints, &service, state, &taken, now_ms)
-                else {
+                let engine = |left| {
+                    let service = &service;
+                    let wanted = Wanted {
+                        service,
+                        state,
+                        left,
+                    };
+                    engine(ledger, endpoints, &wanted, &taken, now_ms)
+                };
+                // The engine that it left is better than none.
+                let Some(endpoint) = engine(progress.left).or_else(|| engine(None)) else {
                     break;
                 };
                 *taken.entry(endpoint).or_default() += 1;
@@ -206,8 +219,37 @@
     order
 }
 
+/// What a sample wants of an engine.
+struct Wanted<'a> {
+    service: &'a str,
+    state: &'a BatchState,
+    left: Option<EndpointKey>,
+}
+
+/// Returns whether a sample that leaves an engine finds another one that is not slow.
+pub fn finds_better(
+    ledger: &Ledger,
+    endpoints: &Endpoints,
+    service: &str,
+    state: &BatchState,
+    left: EndpointKey,
+    now_ms: u64,
+) -> bool {
+    let wanted = Wanted {
+        service,
+        state,
+        left: Some(left),
+    };
+    let found = engine(ledger, endpoints, &wanted, &HashMap::new(), now_ms);
+    let usual_ms = usual_event_ms(endpoints, service);
+    found.is_some_and(|key| endpoints.get(key).event_ms <= USUAL * usual_ms)
+}
+
+/// An engine whose events take up to this many times the usual time is not slow.
+const USUAL: f64 = 1.2;
+
 /// Returns the median time between two events of a service's engines.
-fn usual_event_ms(endpoints: &Endpoints, service: &str) -> f64 {
+pub fn usual_event_ms(endpoints: &Endpoints, service: &str) -> f64 {
     let mut paces: Vec<f64> = endpoints
         .of_service(service)
         .map(|(_, endpoint)| endpoint.event_ms)
@@ -221,13 +263,13 @@
 fn engine(
     ledger: &Ledger,
     endpoints: &Endpoints,
-    service: &str,
-    state: &BatchState,
+    wanted: &Wanted<'_>,
     taken: &HashMap<EndpointKey, u32>,
     now_ms: u64,
 ) -> Option<EndpointKey> {
-    let model = &state.batch.model;
-    let usual_ms = usual_event_ms(endpoints, service);
+    let batch = &wanted.state.batch;
+    let model = &batch.model;
+    let usual_ms = usual_event_ms(endpoints, wanted.service);
     let cost = |key: EndpointKey, endpoint: &Endpoint| {
         let here = endpoint.in_flight + taken.get(&key).copied().unwrap_or(0);
         let slots = endpoint.listing.slots.max(1);
@@ -244,12 +286,13 @@
         (here < slots && cost < 1.0).then_some(cost + shunned)
     };
     endpoints
-        .of_service(service)
+        .of_service(wanted.service)
+        .filter(|(key, _)| Some(*key) != wanted.left)
         .filter(|(_, endpoint)| endpoint.takes_work() && endpoint.refused_until_ms <= now_ms)
         .filter(|(_, endpoint)| {
             endpoint
                 .version(model)
-                .is_some_and(|version| version >= state.batch.min_version)
+                .is_some_and(|version| version >= batch.min_version)
         })
         .filter_map(|(key, endpoint)| Some((cost(key, endpoint)?, key)))
         .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -10,6 +10,7 @@
         result,
         results, //
     },
+    moving::Pace,
     record::Record, //
 };
 
@@ -156,7 +157,9 @@
     let mut endpoints = endpoints(&names.map(|id| listing(id, "saiq", 1)));
     for (id, took_ms) in names.into_iter().zip([40, 40, 160]) {
         let key = endpoints.find(id).unwrap();
-        endpoints.streamed(key, 1, took_ms);
+        let mut pace = Pace::default();
+        (0..2).for_each(|event| pace.event(event * took_ms));
+        endpoints.streamed(key, &pace);
     }
     let slow = endpoints.find("e3").unwrap();
     let started = starts(&mut Sampler::default(), &ledger, &endpoints, 0);
@@ -166,3 +169,52 @@
         .count();
     assert_eq!((started.len(), at_slow), (8, 1));
 }
+
+/// Runs that leave a slow engine go to one that is not, and stay where there is none.
+#[test]
+fn a_sample_that_left_an_engine_goes_elsewhere() {
+    let ledger = ledger(vec![plan(&["e1", "e2"]), batch("b", 1, 1, |_, _| 10)]);
+    let mut endpoints = endpoints(&["e1", "e2"].map(|id| listing(id, "saiq", 1)));
+    let [first, second] = ["e1", "e2"].map(|id| endpoints.find(id).unwrap());
+    let mut sampler = Sampler::default();
+    let id: SampleId = ("b".into(), "s0.0".into());
+    sampler.progress(&id).left = Some(first);
+    (0..3).for_each(|_| endpoints.sent(second));
+    let started = starts(&mut sampler, &ledger, &endpoints, 0);
+    let of_sample = |started: &[Start]| {
+        let found = started.iter().find(|start| start.sample == id);
+        found.map(|start| start.endpoint)
+    };
+    assert_eq!(of_sample(&started), Some(second));
+    let better = |endpoints: &Endpoints| {
+        let state = &ledger.batches["b"];
+        finds_better(&ledger, endpoints, "drafting", state, first, 0)
+    };
+    assert!(better(&endpoints));
+    endpoints.sent(second);
+    assert!(!better(&endpoints));
+    // Where only the engine that it left has room, it goes back there.
+    let mut sampler = Sampler::default();
+    sampler.progress(&id).left = Some(first);
+    let started = starts(&mut sampler, &ledger, &endpoints, 0);
+    assert_eq!(of_sample(&started), Some(first));
+}
+
+#[test]
+fn a_slow_engine_is_not_better() {
+    let ledger = ledger(vec![plan(&["e1", "e2", "e3"]), batch("b", 1, 1, |_, _| 10)]);
+    let names = ["e1", "e2", "e3"];
+    let mut endpoints = endpoints(&names.map(|id| listing(id, "saiq", 1)));
+    for (id, event_ms) in names.into_iter().zip([50, 50, 170]) {
+        let mut pace = Pace::default();
+        (0..2).for_each(|event| pace.event(event * event_ms));
+        let key = endpoints.find(id).unwrap();
+        endpoints.streamed(key, &pace);
+    }
+    let [first, second] = ["e1", "e2"].map(|id| endpoints.find(id).unwrap());
+    (0..4).for_each(|_| endpoints.sent(second));
+    let state = &ledger.batches["b"];
+    assert!(!finds_better(
+        &ledger, &endpoints, "drafting", state, first, 0
+    ));
+}
