Half of a model's engines load new weights before a batch needs them

Now half of the engines load once most samples of the open batches are done, the other half when the batch comes: half can start at once, the number of loads stays.

Ruled out: loading every version on every engine (44 loads in 4 s; nine at a time allow about 30).

--- a/flamingoscale/src/fleet/loads.rs
+++ b/flamingoscale/src/fleet/loads.rs
@@ -7,6 +7,7 @@
 
 use super::{
     endpoints::{
+        Endpoint,
         EndpointKey,
         Endpoints, //
     },
@@ -62,6 +63,16 @@
     needed
 }
 
+/// Returns whether most samples of each open batch of a model are done: engines that load then
+/// keep no sample waiting.
+fn calm(ledger: &Ledger, model: &str) -> bool {
+    ledger
+        .batches
+        .values()
+        .filter(|state| !state.ended && *state.batch.model == *model)
+        .all(|state| state.listed.len() * 2 >= state.batch.samples.len())
+}
+
 /// Orders on their way.
 #[derive(Debug, Default)]
 pub struct Loads {
@@ -89,24 +100,41 @@
                 .is_some_and(|known| known >= *version);
             !endpoint.gone && !done && now_ms.saturating_sub(*sent_ms) < ORDER_MS
         });
-        let mut behind: Vec<Load> = engines
+        let mut early = self.early(ledger, endpoints, &engines, named);
+        let mut behind: Vec<(bool, Load)> = engines
             .iter()
             .filter(|(_, endpoint)| endpoint.takes_work())
             .filter_map(|(key, endpoint)| {
                 let model = ledger.plan.get(&endpoint.listing.id)?;
                 let version = *named.get(model)?;
-                let least = *needed.get(model)?;
-                let behind = endpoint.version(model).is_some_and(|known| known < least);
-                behind.then(|| Load {
+                let known = endpoint.version(model)?;
+                let load = Load {
                     endpoint: *key,
                     model: model.clone(),
                     version,
                     mode,
-                })
+                };
+                let needed = known < *needed.get(model)?;
+                (needed || known < version).then_some((needed, load))
             })
-            .filter(|load| !self.sent.keys().any(|(key, _)| *key == load.endpoint))
+            .filter(|(_, load)| !self.sent.keys().any(|(key, _)| *key == load.endpoint))
             .collect();
-        behind.sort_by_key(|load| (endpoints.get(load.endpoint).in_flight, load.endpoint));
+        behind.sort_by_key(|(needed, load)| {
+            let endpoint = endpoints.get(load.endpoint);
+            (
+                !needed,
+                endpoint.version(&load.model),
+                endpoint.in_flight,
+                load.endpoint,
+            )
+        });
+        behind.retain(|(needed, load)| {
+            let left = early.entry(load.model.clone()).or_default();
+            let goes = *needed || *left > 0;
+            *left = left.saturating_sub(usize::from(!needed));
+            goes
+        });
+        let mut behind: Vec<Load> = behind.into_iter().map(|(_, load)| load).collect();
         behind.truncate(most.saturating_sub(self.sent.len()));
         for load in &behind {
             self.sent
@@ -115,6 +143,33 @@
         behind
     }
 
+    /// Returns how many engines of each model should load before a batch needs it.
+    ///
+    /// A step allows the version before its own, so weights last for two steps. Half of the engines
+    /// load in one step, half in the next: whenever a batch comes, half of them can start at once.
+    fn early(
+        &self,
+        ledger: &Ledger,
+        endpoints: &Endpoints,
+        engines: &[(EndpointKey, &Endpoint)],
+        named: &HashMap<Arc<str>, u64>,
+    ) -> HashMap<Arc<str>, usize> {
+        let mut early = HashMap::new();
+        for (model, version) in named.iter().filter(|(model, _)| calm(ledger, model)) {
+            let of_model: Vec<_> = engines
+                .iter()
+                .filter(|(_, endpoint)| ledger.plan.get(&endpoint.listing.id) == Some(model))
+                .collect();
+            let new = of_model.iter().filter(|(key, _)| {
+                let known = endpoints.get(*key).version(model);
+                known >= Some(*version) || self.sent.contains_key(&(*key, model.clone()))
+            });
+            let half = of_model.len().div_ceil(2);
+            early.insert(model.clone(), half.saturating_sub(new.count()));
+        }
+        early
+    }
+
     /// Notes that an order was surely not accepted, so that it may be sent again.
     pub fn refused(&mut self, endpoint: EndpointKey, model: &Arc<str>) {
         self.sent.remove(&(endpoint, model.clone()));
--- a/flamingoscale/src/fleet/loads/tests.rs
+++ b/flamingoscale/src/fleet/loads/tests.rs
@@ -5,7 +5,9 @@
     fixtures::{
         batch,
         endpoints,
-        listing, //
+        listing,
+        result,
+        results, //
     },
     record::Record, //
 };
@@ -50,6 +52,27 @@
     assert_eq!(due(&mut loads, &ledger, &endpoints, 0), 2);
 }
 
+/// All engines loaded when the next batch needed it, and its samples waited for up to 5 s.
+#[test]
+fn half_of_the_engines_load_while_the_last_samples_run() {
+    let (mut ledger, mut endpoints) = planned(4);
+    let mut loads = Loads::default();
+    ledger.apply(1, batch("b2", 2, 2, |_, _| 10), 0);
+    ledger.apply(2, results(vec![result("b2", "s0.0", "text")]), 0);
+    assert_eq!(due(&mut loads, &ledger, &endpoints, 0), 0);
+    ledger.apply(3, results(vec![result("b2", "s0.1", "text")]), 0);
+    assert_eq!(due(&mut loads, &ledger, &endpoints, 100), 2);
+    assert_eq!(due(&mut loads, &ledger, &endpoints, 200), 0);
+    for id in ["e0", "e1"] {
+        let loaded = endpoints.find(id).unwrap();
+        endpoints.ran_version(loaded, &"notes".into(), 2);
+    }
+    assert_eq!(due(&mut loads, &ledger, &endpoints, 300), 0);
+    // The next step needs it: the others load, the first two serve meanwhile.
+    ledger.apply(4, batch("b3", 3, 2, |_, _| 10), 0);
+    assert_eq!(due(&mut loads, &ledger, &endpoints, 400), 2);
+}
+
 #[test]
 fn engines_load_at_once_if_an_open_batch_needs_it() {
     let (mut ledger, endpoints) = planned(2);
