Leases by epoch, held only by signs that were read back; one key for each settled window

Cause: a property test over random histories of the store (new, fleet/histories.rs) found three faults, all real: - a claim that was repeated before it was read back prolonged its holder's time by up to 1.6 s, and replaced the first claim under its key, so an instance that started then saw another fencing number; - an acknowledged renewal prolonged the lease although it stood behind another's claim: a holder that woke with late reads took turns with the next one; - a window settled twice by one writer kept the second figures in the store.

Now a claim names an epoch, the greatest epoch and in it the lowest term holds in any order of reading; only signs that were read back count; a new holder waits out a sign of the former one that it read after it claimed. What a process writes about a lease is decided in the library (tenure::Standing), the daemon only sends it.

Ruled out: claims that name the last sign they saw (the store replaces renewals, so a process that starts can't tell which claim was valid); compare-and-append on a topic of its own (one more long wait for each instance).

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -10,6 +10,8 @@
 pub mod endpoints;
 #[cfg(test)]
 pub(crate) mod fixtures;
+#[cfg(test)]
+mod histories;
 pub mod ledger;
 pub mod loads;
 pub mod moving;
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -16,7 +16,8 @@
         Record,
         Sample,
         SampleEnd,
-        SampleResult, //
+        SampleResult,
+        Sign, //
     },
     texts::TextPlace, //
 };
@@ -74,6 +75,16 @@
     }
 }
 
+pub(crate) fn sign(lease: &str, holder: &str, epoch: u64, sent_ms: u64) -> Sign {
+    Sign {
+        lease: lease.into(),
+        holder: holder.into(),
+        incarnation: 1,
+        epoch,
+        sent_ms,
+    }
+}
+
 pub(crate) fn beat(instance: &str, incarnation: u64) -> Record {
     beat_with(instance, incarnation, 500)
 }
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -4,6 +4,7 @@
 //! batch is the rank of the first record that finished it, so every instance lists the same.
 
 use std::{
+    cmp::Reverse,
     collections::{
         BTreeMap,
         HashMap,
@@ -18,7 +19,8 @@
     Beat,
     Record,
     Sample,
-    SampleResult, //
+    SampleResult,
+    Sign, //
 };
 
 /// Results for a batch whose own record has not been read yet are kept up to this many, so that
@@ -62,14 +64,14 @@
 /// Who holds a lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseState {
-    /// The instance.
-    pub holder: Arc<str>,
-    /// Its incarnation.
-    pub incarnation: u64,
-    /// Offset of the accepted claim: the fencing number.
+    /// The holder's last sign.
+    pub sign: Sign,
+    /// Offset of the claim, plus one: the fencing number.
     pub term: u64,
     /// When this instance last read a sign of the holder, in its monotonic milliseconds.
     pub seen_ms: u64,
+    /// When it last read a sign of the holder before, if that one may still have acted then.
+    pub former_seen_ms: Option<u64>,
     /// Whether the holder gave it back.
     pub released: bool,
 }
@@ -86,6 +88,9 @@
 /// Counts by organisation of one instance's incarnation.
 type InstanceCounts = HashMap<(Arc<str>, u64), Vec<(Arc<str>, u64)>>;
 
+/// The last claim that was read of each instance: its incarnation, and when it was sent.
+type LastClaims = HashMap<Arc<str>, (u64, u64)>;
+
 /// What is known of a usage window.
 #[derive(Debug, Default)]
 pub struct WindowState {
@@ -118,6 +123,7 @@
     pub index: HashMap<Arc<str>, u64>,
     /// The last result of a sample, whatever the batch.
     pub last_results: HashMap<Arc<str>, Rc<SampleResult>>,
+    claims: HashMap<Arc<str>, LastClaims>,
     parts: HashMap<(Arc<str>, u32), Vec<Sample>>,
     orphans: Vec<SampleResult>,
     ended: HashSet<Arc<str>>,
@@ -151,23 +157,13 @@
             }
             Record::Ended { batch } => self.end(batch),
             Record::Beat(beat) => self.note_beat(beat, now_ms),
-            Record::Claim {
-                lease,
-                holder,
-                incarnation,
-                previous,
-            } => self.claim(offset, lease, (holder, incarnation), previous, now_ms),
-            Record::Renewal {
-                lease,
-                holder,
-                incarnation,
-                term,
-            } => self.renew(lease, (holder, incarnation), term, now_ms),
-            Record::Release { lease, term, .. } => {
-                if let Some(state) = self.leases.get_mut(&lease) {
-                    state.released |= state.term == term;
-                }
+            Record::Claim(sign) => {
+                let claims = self.claims.entry(sign.lease.clone()).or_default();
+                claims.insert(sign.holder.clone(), (sign.incarnation, sign.sent_ms));
+                self.lease(sign, offset + 1, false, now_ms);
             }
+            Record::Renewal { sign, term } => self.lease(sign, term, false, now_ms),
+            Record::Release { sign, term } => self.lease(sign, term, true, now_ms),
             Record::Counts {
                 instance,
                 incarnation,
@@ -321,51 +317,42 @@
         }
     }
 
-    fn claim(
-        &mut self,
-        offset: u64,
-        lease: Arc<str>,
-        (holder, incarnation): (Arc<str>, u64),
-        previous: u64,
-        now_ms: u64,
-    ) {
-        let in_force = self.leases.get(&lease).map_or(0, |state| state.term);
-        if in_force != previous {
+    /// Takes in a sign of an instance that holds a lease or wants it.
+    ///
+    /// The greatest epoch holds and in it the lowest term, in whatever order signs are read, so
+    /// that it doesn't matter which of them the store has replaced.
+    fn lease(&mut self, sign: Sign, term: u64, released: bool, now_ms: u64) {
+        let known = self.leases.get(&sign.lease);
+        let rank = |state: &LeaseState| (state.sign.epoch, Reverse(state.term));
+        if known.is_some_and(|known| rank(known) > (sign.epoch, Reverse(term))) {
             return;
         }
-        let state = LeaseState {
-            holder,
-            incarnation,
-            term: offset + 1,
-            seen_ms: now_ms,
-            released: false,
+        let former_seen_ms = match known {
+            Some(known) if (known.sign.epoch, known.term) == (sign.epoch, term) => {
+                known.former_seen_ms
+            }
+            Some(known) if known.sign.holder != sign.holder && !known.released => {
+                let member = self.members.get(&known.sign.holder);
+                let ended = |member: &MemberState| member.beat.incarnation > known.sign.incarnation;
+                (!member.is_some_and(ended)).then_some(known.seen_ms)
+            }
+            Some(_) | None => None,
         };
-        self.leases.insert(lease, state);
-    }
-
-    fn renew(
-        &mut self,
-        lease: Arc<str>,
-        (holder, incarnation): (Arc<str>, u64),
-        term: u64,
-        now_ms: u64,
-    ) {
-        let in_force = self.leases.get(&lease).map_or(0, |state| state.term);
-        if in_force > term {
-            return;
-        }
-        let released = self
-            .leases
-            .get(&lease)
-            .is_some_and(|state| state.term == term && state.released);
+        let released = released || known.is_some_and(|known| known.released && known.term == term);
         let state = LeaseState {
-            holder,
-            incarnation,
+            sign: sign.clone(),
             term,
             seen_ms: now_ms,
+            former_seen_ms,
             released,
         };
-        self.leases.insert(lease, state);
+        self.leases.insert(sign.lease, state);
+    }
+
+    /// Returns when an instance sent its last claim that was read, by its own clock.
+    pub fn claim_read(&self, lease: &str, holder: &str, incarnation: u64) -> Option<u64> {
+        let (of_incarnation, sent_ms) = self.claims.get(lease)?.get(holder)?;
+        (*of_incarnation == incarnation).then_some(*sent_ms)
     }
 }
 
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -177,6 +177,22 @@
     pub leaving: bool,
 }
 
+/// What an instance says of a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sign {
+    /// The lease.
+    pub lease: Arc<str>,
+    /// The instance.
+    pub holder: Arc<str>,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Which claim it is about: of two claims the one with the greater epoch holds, of two with
+    /// the same epoch the first.
+    pub epoch: u64,
+    /// When it was sent, by the instance's own monotonic clock.
+    pub sent_ms: u64,
+}
+
 /// A record of the shared topic.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
@@ -214,35 +230,20 @@
     },
     /// An instance lives.
     Beat(Beat),
-    /// An instance wants a lease. It holds if `previous` is still the term in force.
-    Claim {
-        /// The lease.
-        lease: Arc<str>,
-        /// The instance.
-        holder: Arc<str>,
-        /// Its incarnation.
-        incarnation: u64,
-        /// The term that the claimer saw end; 0 for none.
-        previous: u64,
-    },
+    /// An instance wants a lease.
+    Claim(Sign),
     /// The holder of a lease keeps it.
     Renewal {
-        /// The lease.
-        lease: Arc<str>,
-        /// The instance.
-        holder: Arc<str>,
-        /// Its incarnation.
-        incarnation: u64,
-        /// The term that it holds.
+        /// The holder's sign.
+        sign: Sign,
+        /// The fencing number.
         term: u64,
     },
     /// The holder gives a lease back.
     Release {
-        /// The lease.
-        lease: Arc<str>,
-        /// The instance.
-        holder: Arc<str>,
-        /// The term that it held.
+        /// The holder's sign.
+        sign: Sign,
+        /// The fencing number.
         term: u64,
     },
     /// Requests that one instance saw begin in one window, so far.
@@ -337,16 +338,16 @@
             Self::Opened { batch, .. } => format!("a/o/{batch}/{writer}/{serial}"),
             Self::Ended { batch } => format!("a/e/{batch}"),
             Self::Beat(beat) => format!("a/m/{}", beat.instance),
-            Self::Claim { lease, holder, .. }
-            | Self::Renewal { lease, holder, .. }
-            | Self::Release { lease, holder, .. } => format!("a/l/{lease}/{holder}"),
+            Self::Claim(sign) | Self::Renewal { sign, .. } | Self::Release { sign, .. } => {
+                format!("a/l/{}/{}", sign.lease, sign.holder)
+            }
             Self::Counts {
                 instance,
                 incarnation,
                 window,
                 ..
             } => format!("a/u/{window}/{instance}/{incarnation}"),
-            Self::Window { window, .. } => format!("a/w/{window}/{writer}"),
+            Self::Window { window, .. } => format!("a/w/{window}/{writer}/{serial}"),
             Self::Reported { window } => format!("a/d/{window}"),
             Self::Suspect { .. } => format!("a/q/{writer}/{serial}"),
             Self::Plan { .. } => "a/p".to_owned(),
--- a/flamingoscale/src/fleet/tenure.rs
+++ b/flamingoscale/src/fleet/tenure.rs
@@ -10,14 +10,17 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::ledger::Ledger;
+use super::ledger::{
+    LeaseState,
+    Ledger, //
+};
 
 /// How long a lease lasts, and who may claim it when.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rules {
     /// How often a holder renews: a third of the term, so that two lost renewals cost nothing.
     pub renew_ms: u64,
-    /// How long a holder may act after it sent its last renewal that was acknowledged.
+    /// How long a holder may act after it sent its last renewal that it read back.
     pub term_ms: u64,
     /// How much longer the others wait: covers timers that fire late and an order in flight.
     pub guard_ms: u64,
@@ -83,7 +86,7 @@
     alive.into_iter().map(|(_, _, name)| name).collect()
 }
 
-/// Returns the term that a claim must name, if the instance should claim the lease now.
+/// Returns the epoch that a claim must name, if the instance should claim the lease now.
 ///
 /// The caller must have read the topic to its end within the last second or so.
 pub fn claim(
@@ -94,10 +97,10 @@
     now_ms: u64,
 ) -> Option<u64> {
     let known = ledger.leases.get(lease);
-    if let Some(state) = known.filter(|state| state.holder == claimer.instance) {
-        // No other holder comes between two incarnations of one instance.
-        if state.incarnation < claimer.incarnation {
-            return Some(state.term);
+    if let Some(state) = known.filter(|state| state.sign.holder == claimer.instance) {
+        // The former incarnation is over. It may have sent a claim of the next epoch.
+        if state.sign.incarnation < claimer.incarnation {
+            return Some(state.sign.epoch + 2);
         }
     }
     let settled_ms = claimer.caught_up_ms + rules.settle_ms;
@@ -112,35 +115,139 @@
         return None;
     }
     match known {
-        None => (now_ms >= settled_ms + FIRST_MS + wait_ms).then_some(0),
+        None => (now_ms >= settled_ms + FIRST_MS + wait_ms).then_some(1),
         Some(state) => {
             let age_ms = now_ms.saturating_sub(state.seen_ms);
             let restarted = ledger
                 .members
-                .get(&state.holder)
-                .is_some_and(|member| member.beat.incarnation > state.incarnation);
+                .get(&state.sign.holder)
+                .is_some_and(|member| member.beat.incarnation > state.sign.incarnation);
             let due_ms = match state.released || restarted {
                 true => wait_ms,
                 false => rules.term_ms + rules.guard_ms + wait_ms,
             };
-            (age_ms >= due_ms).then_some(state.term)
+            (age_ms >= due_ms).then_some(state.sign.epoch + 1)
         }
     }
 }
 
-/// A lease as its holder sees it.
+/// What an instance writes about a lease now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Tenure {
-    /// The fencing number.
-    pub term: u64,
-    /// When the last acknowledged claim or renewal was sent, in monotonic milliseconds.
-    pub sent_ms: u64,
+pub enum Step {
+    /// Nothing.
+    Rest,
+    /// That it keeps the lease.
+    Renew {
+        /// The epoch of its claim.
+        epoch: u64,
+        /// The term that it holds.
+        term: u64,
+    },
+    /// That it wants the lease.
+    Claim {
+        /// The epoch of its claim.
+        epoch: u64,
+    },
+}
+
+/// How an instance stands to one lease, beside what was read of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    held: Option<u64>,
+    given_up: Option<u64>,
+    renewed_ms: Option<u64>,
+    claimed_ms: Option<u64>,
 }
 
-impl Tenure {
-    /// Returns whether the holder may still act.
-    pub fn holds(&self, rules: Rules, now_ms: u64) -> bool {
-        now_ms.saturating_sub(self.sent_ms) < rules.term_ms
+impl Standing {
+    /// Takes in what was read of the lease; returns what to write now.
+    ///
+    /// `fresh` tells whether the topic was read to its end within the last second or so.
+    pub fn step(
+        &mut self,
+        ledger: &Ledger,
+        lease: &str,
+        rules: Rules,
+        claimer: &Claimer,
+        (fresh, now_ms): (bool, u64),
+    ) -> Step {
+        let state = self.in_force(ledger, lease, claimer);
+        self.held = state.map(|state| state.term);
+        let recent = |sent_ms: u64| now_ms.saturating_sub(sent_ms) < rules.renew_ms;
+        if let Some(state) = state {
+            let rests = recent(state.sign.sent_ms) || self.renewed_ms.is_some_and(recent);
+            if rests {
+                return Step::Rest;
+            }
+            self.renewed_ms = Some(now_ms);
+            return Step::Renew {
+                epoch: state.sign.epoch,
+                term: state.term,
+            };
+        }
+        // The store keeps one claim of an instance: a second one would replace the first, which
+        // others may have read.
+        let read = ledger.claim_read(lease, &claimer.instance, claimer.incarnation);
+        if !fresh || self.claimed_ms.is_some_and(|sent_ms| read < Some(sent_ms)) {
+            return Step::Rest;
+        }
+        let epoch = claim(ledger, lease, rules, claimer, now_ms);
+        epoch.map_or(Step::Rest, |epoch| {
+            self.claimed_ms = Some(now_ms);
+            Step::Claim { epoch }
+        })
+    }
+
+    /// Notes that the last claim was surely not taken by the store.
+    pub fn claim_refused(&mut self) {
+        self.claimed_ms = None;
+    }
+
+    /// Gives the lease up; returns the epoch and the term if it was held.
+    pub fn give_up(&mut self, ledger: &Ledger, lease: &str) -> Option<(u64, u64)> {
+        let term = self.held.take()?;
+        self.given_up = Some(term);
+        let state = ledger.leases.get(lease)?;
+        Some((state.sign.epoch, term))
+    }
+
+    /// Returns the term that was held when it was last looked at.
+    pub fn held(&self) -> Option<u64> {
+        self.held
+    }
+
+    /// Returns the fencing number under which the instance may act now.
+    ///
+    /// Only signs that were read back count: an acknowledged renewal may stand behind another's
+    /// claim. The holder counts from before it sent the sign; the others, and a new holder before
+    /// it acts, count from when they read the last sign of the one before.
+    pub fn term(
+        &self,
+        ledger: &Ledger,
+        lease: &str,
+        rules: Rules,
+        claimer: &Claimer,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let state = self.in_force(ledger, lease, claimer)?;
+        let from_ms = state.former_seen_ms;
+        let from_ms = from_ms.map_or(0, |seen_ms| seen_ms + rules.term_ms + rules.guard_ms);
+        let lasts = now_ms.saturating_sub(state.sign.sent_ms) < rules.term_ms;
+        (lasts && now_ms >= from_ms).then_some(state.term)
+    }
+
+    /// Returns the lease if this incarnation holds it by what was read.
+    fn in_force<'a>(
+        &self,
+        ledger: &'a Ledger,
+        lease: &str,
+        claimer: &Claimer,
+    ) -> Option<&'a LeaseState> {
+        let state = ledger.leases.get(lease)?;
+        let sign = &state.sign;
+        let mine = sign.holder == claimer.instance && sign.incarnation == claimer.incarnation;
+        let kept = !state.released && self.given_up != Some(state.term);
+        (mine && kept).then_some(state)
     }
 }
 
