--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -18,6 +18,7 @@
     Batch,
     Beat,
     Record,
+    Removed,
     Sample,
     SampleResult,
     Sign, //
@@ -215,6 +216,37 @@
             .min()
     }
 
+    /// Returns the oldest batch that is over and was accepted before a time.
+    pub fn outlived(&self, before_unix_ms: u64) -> Option<(Arc<str>, u64)> {
+        let over = self.index.iter().filter(|(batch, submitted_unix_ms)| {
+            **submitted_unix_ms < before_unix_ms && self.ended.contains(*batch)
+        });
+        let oldest = over.min_by_key(|(_, submitted_unix_ms)| **submitted_unix_ms)?;
+        Some((oldest.0.clone(), *oldest.1))
+    }
+
+    /// Returns the oldest window before another one that was reported.
+    pub fn outlived_window(&self, before: u64) -> Option<u64> {
+        let mut windows = self.windows.range(..before);
+        windows
+            .find(|(_, state)| state.reported)
+            .map(|(window, _)| *window)
+    }
+
+    /// Takes in that records were removed from the store.
+    pub fn forget(&mut self, removed: Removed<'_>) {
+        match removed {
+            Removed::Window(window) => drop(self.windows.remove(&window)),
+            Removed::Batch(batch) => {
+                self.index.remove(batch);
+                self.ended.remove(batch);
+                self.batches.remove(batch);
+                self.last_results
+                    .retain(|_, result| *result.batch != *batch);
+            }
+        }
+    }
+
     /// Keeps the results of a batch that come in while its records are read.
     pub fn begin_load(&mut self, batch: &Arc<str>) {
         self.loading.insert(batch.clone());
--- a/flamingoscale/src/fleet/ledger/tests.rs
+++ b/flamingoscale/src/fleet/ledger/tests.rs
@@ -210,6 +210,54 @@
     assert_eq!(late.windows[&7].settled, Some(vec![("lodges".into(), 3)]));
 }
 
+#[test]
+fn only_batches_that_are_over_and_old_are_removed() {
+    let opened = |batch: &str, submitted_unix_ms| Record::Opened {
+        batch: batch.into(),
+        submitted_unix_ms,
+    };
+    let ended = |batch: &str| Record::Ended {
+        batch: batch.into(),
+    };
+    let records = [
+        opened("open", 100),
+        opened("new", 900),
+        opened("old/1", 200),
+        batch("old/1", 1, 2, |_, _| 10),
+        results(vec![result("old/1", "s0.0", "text")]),
+        ended("new"),
+        ended("old/1"),
+    ];
+    let mut ledger = folded(&records);
+    assert_eq!(ledger.outlived(500), Some(("old/1".into(), 200)));
+    let key = records[2].key("n1/7", 3);
+    assert_eq!(Removed::of(&key), Some(Removed::Batch("old/1")));
+    ledger.forget(Removed::Batch("old/1"));
+    assert!(ledger.outlived(500).is_none() && ledger.batches.is_empty());
+    assert!(ledger.last_results.is_empty());
+    assert_eq!(ledger.unloaded("new"), Some(900));
+}
+
+#[test]
+fn a_window_goes_after_its_report() {
+    let settled = |window| Record::Window {
+        window,
+        counts: Vec::new(),
+    };
+    let reported = Record::Reported { window: 8 };
+    let mut ledger = folded(&[settled(7), settled(8), settled(9), reported.clone()]);
+    assert_eq!(
+        (ledger.outlived_window(8), ledger.outlived_window(9)),
+        (None, Some(8))
+    );
+    assert_eq!(
+        Removed::of(&reported.key("n1/7", 3)),
+        Some(Removed::Window(8))
+    );
+    ledger.forget(Removed::Window(8));
+    assert_eq!(ledger.outlived_window(100), None);
+}
+
 fn any_record() -> impl Strategy<Value = Record> {
     prop_oneof![
         2 => (0..3_u64).prop_map(|id| batch(&format!("b{id}"), id, 3, |_, _| 10)),
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -335,8 +335,8 @@
                     results_key(*submitted_unix_ms, batch)
                 )
             }
-            Self::Opened { batch, .. } => format!("a/o/{batch}/{writer}/{serial}"),
-            Self::Ended { batch } => format!("a/e/{batch}"),
+            Self::Opened { batch, .. } => format!("{}{writer}/{serial}", opened_keys(batch)),
+            Self::Ended { batch } => ended_key(batch),
             Self::Beat(beat) => format!("a/m/{}", beat.instance),
             Self::Claim(sign) | Self::Renewal { sign, .. } | Self::Release { sign, .. } => {
                 format!("a/l/{}/{}", sign.lease, sign.holder)
@@ -346,9 +346,9 @@
                 incarnation,
                 window,
                 ..
-            } => format!("a/u/{window}/{instance}/{incarnation}"),
-            Self::Window { window, .. } => format!("a/w/{window}/{writer}/{serial}"),
-            Self::Reported { window } => format!("a/d/{window}"),
+            } => format!("{}{instance}/{incarnation}", window_keys(*window).0),
+            Self::Window { window, .. } => format!("{}{writer}/{serial}", window_keys(*window).1),
+            Self::Reported { window } => window_keys(*window).2,
             Self::Suspect { .. } => format!("a/q/{writer}/{serial}"),
             Self::Plan { .. } => "a/p".to_owned(),
         }
@@ -385,6 +385,48 @@
 /// Keys from here on belong to results.
 pub const RESULT_KEYS: &str = "r/";
 
+/// Returns where the keys of the records begin that name a batch.
+pub fn opened_keys(batch: &str) -> String {
+    format!("{OPENED_KEYS}{batch}/")
+}
+
+/// Returns the key of a batch's end.
+pub fn ended_key(batch: &str) -> String {
+    format!("a/e/{batch}")
+}
+
+/// Returns where the keys of a window's counts and of its settled figures begin, and the key of
+/// its report.
+pub fn window_keys(window: u64) -> (String, String, String) {
+    let counts = format!("a/u/{window}/");
+    let settled = format!("a/w/{window}/");
+    (counts, settled, format!("{REPORTED_KEYS}{window}"))
+}
+
+const OPENED_KEYS: &str = "a/o/";
+const REPORTED_KEYS: &str = "a/d/";
+
+/// What the removal of a key ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removed<'a> {
+    /// All that is known of a batch.
+    Batch(&'a str),
+    /// All that is known of a usage window.
+    Window(u64),
+}
+
+impl<'a> Removed<'a> {
+    /// Returns what ends with the removal of a key, if anything does.
+    pub fn of(key: &'a str) -> Option<Self> {
+        if let Some(window) = key.strip_prefix(REPORTED_KEYS) {
+            return window.parse().ok().map(Self::Window);
+        }
+        // The writer's name, its incarnation and the serial number follow the batch.
+        let rest = key.strip_prefix(OPENED_KEYS)?;
+        rest.rsplitn(4, '/').nth(3).map(Self::Batch)
+    }
+}
+
 /// Returns where the keys of a batch begin.
 pub fn batch_key(submitted_unix_ms: u64, batch: &str) -> String {
     format!("{BATCH_KEYS}{submitted_unix_ms:013}/{batch}")
--- a/flamingoscale/src/fleet/texts.rs
+++ b/flamingoscale/src/fleet/texts.rs
@@ -49,10 +49,19 @@
 /// Returns the key of a record of texts. Records that one writer makes for one batch follow one
 /// another in the order of keys.
 pub fn text_key(submitted_unix_ms: u64, batch: &str, writer: &str, serial: u64) -> String {
-    format!("{submitted_unix_ms:013}/{batch}/{writer}.{serial:08}")
+    format!(
+        "{}{writer}.{serial:08}",
+        text_keys(submitted_unix_ms, batch)
+    )
 }
 
-/// Returns the partition of a key made by [`text_key`]: the same for all keys of a batch.
+/// Returns where the keys of a batch's texts begin.
+pub fn text_keys(submitted_unix_ms: u64, batch: &str) -> String {
+    format!("{submitted_unix_ms:013}/{batch}/")
+}
+
+/// Returns the partition of a key made by [`text_key`] or of where a batch's keys begin: the same
+/// for all keys of a batch.
 pub fn partition(key: &str) -> u32 {
     let (time, rest) = key.split_once('/').unwrap_or((key, ""));
     let batch = rest.rsplit_once('/').map_or(rest, |(batch, _)| batch);
