A holder keeps its leases over an outage of the store

Samples began anew at the next holder, from texts of before the outage, though the old one had gone on: all four leases moved at 5.4 s and at 15.0 s, batches ended 7 to 15 s after they were accepted.

Now an instance counts a holder's silence from when its own reads and appends went through again.

Ruled out: the outage alone (results of samples that were whole meanwhile were listed within 0.3 s of its end).

--- a/flamingoscale/src/fleet/histories.rs
+++ b/flamingoscale/src/fleet/histories.rs
@@ -298,6 +298,7 @@
             instance: instance.name.clone(),
             incarnation: instance.incarnation,
             caught_up_ms: instance.caught_up_ms,
+            in_touch_ms: 0,
         }
     }
 
--- a/flamingoscale/src/fleet/tenure.rs
+++ b/flamingoscale/src/fleet/tenure.rs
@@ -65,6 +65,8 @@
     pub incarnation: u64,
     /// When it had read the topic to its end for the first time, in monotonic milliseconds.
     pub caught_up_ms: u64,
+    /// Since when its reads and appends have been going through.
+    pub in_touch_ms: u64,
 }
 
 /// Returns the instances that take callers or work, in the order of succession for a lease.
@@ -117,16 +119,19 @@
     match known {
         None => (now_ms >= settled_ms + FIRST_MS + wait_ms).then_some(1),
         Some(state) => {
-            let age_ms = now_ms.saturating_sub(state.seen_ms);
             let restarted = ledger
                 .members
                 .get(&state.sign.holder)
                 .is_some_and(|member| member.beat.incarnation > state.sign.incarnation);
             let due_ms = match state.released || restarted {
-                true => wait_ms,
-                false => rules.term_ms + rules.guard_ms + wait_ms,
+                true => state.seen_ms + wait_ms,
+                // After an outage of the store the holder needs some time to be heard again.
+                false => {
+                    let from_ms = state.seen_ms.max(claimer.in_touch_ms);
+                    from_ms + rules.term_ms + rules.guard_ms + wait_ms
+                }
             };
-            (age_ms >= due_ms).then_some(state.sign.epoch + 1)
+            (now_ms >= due_ms).then_some(state.sign.epoch + 1)
         }
     }
 }
--- a/flamingoscale/src/fleet/tenure/tests.rs
+++ b/flamingoscale/src/fleet/tenure/tests.rs
@@ -25,6 +25,7 @@
         instance: instance.into(),
         incarnation: 1,
         caught_up_ms: 0,
+        in_touch_ms: 0,
     }
 }
 
@@ -95,6 +96,7 @@
         instance: "n1".into(),
         incarnation: 2,
         caught_up_ms: 100_000,
+        in_touch_ms: 0,
     };
     assert_eq!(claim(&ledger, LEASE, ORDERS, &again, 100_000), Some(3));
     let other = Claimer {
@@ -166,6 +168,28 @@
     assert_eq!(term(&ledger, &other, lapsed_ms), Some(14));
 }
 
+/// When the store came back, each lease went to another instance, whose samples began without what
+/// the holder had made meanwhile.
+#[test]
+fn a_holder_keeps_its_lease_over_an_outage_of_the_store() {
+    let mut ledger = ledger(&["n1", "n2", "n3"], 100_000);
+    held(&mut ledger, "n1", 100_000);
+    let (now_ms, back_ms) = (107_100, 107_000);
+    for (offset, instance) in ["n1", "n2", "n3"].into_iter().enumerate() {
+        ledger.apply(20 + offset as u64, beat(instance, 1), now_ms);
+    }
+    for other in ["n2", "n3"] {
+        let other = Claimer {
+            in_touch_ms: back_ms,
+            ..claimer(other)
+        };
+        let claims = |now_ms| claim(&ledger, LEASE, SAMPLES, &other, now_ms);
+        let lapsed_ms = back_ms + SAMPLES.term_ms + SAMPLES.guard_ms;
+        assert_eq!(claims(lapsed_ms - 1), None);
+        assert_eq!(claims(lapsed_ms + 2 * RANK_MS), Some(2));
+    }
+}
+
 /// After a fencing refusal the instance doesn't act until it has claimed anew.
 #[test]
 fn a_lease_that_was_given_up_is_not_acted_under() {
@@ -219,6 +243,7 @@
         instance: line[0].clone(),
         incarnation: 2,
         caught_up_ms: 1_000,
+        in_touch_ms: 0,
     };
     let taken_ms =
         (1_000..9_000).find(|now_ms| claim(&ledger, LEASE, SAMPLES, &claimer, *now_ms).is_some());
