--- a/flamingoscale/src/fleet/histories.rs
+++ b/flamingoscale/src/fleet/histories.rs
@@ -29,10 +29,7 @@
         results, //
     },
     ledger::Ledger,
-    record::{
-        Record,
-        Sign, //
-    },
+    record::Record,
     tenure::{
         Claimer,
         Standing,
@@ -323,13 +320,8 @@
             instance
                 .standing
                 .step(&instance.ledger, LEASE, ORDERS, &claimer, (fresh, now_ms));
-        let sign = |epoch| Sign {
-            lease: LEASE.into(),
-            holder: claimer.instance.clone(),
-            incarnation: claimer.incarnation,
-            epoch,
-            sent_ms: now_ms,
-        };
+        let lease = LEASE.into();
+        let sign = |epoch| claimer.sign(&lease, epoch, now_ms);
         match step {
             Step::Rest => (),
             Step::Renew { epoch, term } => {
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -200,6 +200,12 @@
         self.next_offset = self.next_offset.max(end_offset);
     }
 
+    /// Returns whether a sample of a batch that is not over waits for its result.
+    pub fn is_open(&self, batch: &str, sample: &str) -> bool {
+        let state = self.batches.get(batch);
+        state.is_some_and(|state| !state.ended && !state.listed.contains_key(sample))
+    }
+
     /// Returns when a batch was accepted that is known but not loaded.
     pub fn unloaded(&self, batch: &str) -> Option<u64> {
         let submitted_unix_ms = self.index.get(batch).copied();
--- a/flamingoscale/src/fleet/tenure.rs
+++ b/flamingoscale/src/fleet/tenure.rs
@@ -10,9 +10,12 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::ledger::{
-    LeaseState,
-    Ledger, //
+use super::{
+    ledger::{
+        LeaseState,
+        Ledger, //
+    },
+    record::Sign, //
 };
 
 /// How long a lease lasts, and who may claim it when.
@@ -69,6 +72,19 @@
     pub in_touch_ms: u64,
 }
 
+impl Claimer {
+    /// Returns what the instance says of a lease now.
+    pub fn sign(&self, lease: &Arc<str>, epoch: u64, now_ms: u64) -> Sign {
+        Sign {
+            lease: lease.clone(),
+            holder: self.instance.clone(),
+            incarnation: self.incarnation,
+            epoch,
+            sent_ms: now_ms,
+        }
+    }
+}
+
 /// Returns the instances that take callers or work, in the order of succession for a lease.
 ///
 /// Large instances go first: who runs the samples of a model reads some hundred events a second.
--- a/flamingoscale/src/fleet/texts.rs
+++ b/flamingoscale/src/fleet/texts.rs
@@ -143,10 +143,7 @@
     ledger: &Ledger,
 ) {
     for partial in left {
-        let open = ledger
-            .batches
-            .get(&partial.batch)
-            .is_some_and(|state| !state.ended && !state.listed.contains_key(&partial.sample));
+        let open = ledger.is_open(&partial.batch, &partial.sample);
         let id = (partial.batch.clone(), partial.sample.clone());
         let longer = known
             .get(&id)
