Samples are listed with their score

Ruled out: a score as a record of its own that readers join to the text: of two holders' records a text could get the other's score. A queue of our own before the service: its slots are the queue that matters, and its load comes with every answer. Texts that wait for their score are handed over under a key of their own. Calls and scores stand in new records, so samples and results keep their encoding. The time of the call counts in start order.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -19,5 +19,6 @@
 pub mod migration;
 pub mod record;
 pub mod sampling;
+pub mod scoring;
 pub mod texts;
 pub mod usage;
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -17,7 +17,8 @@
         Record,
         Sample,
         SampleEnd,
-        SampleResult, //
+        SampleResult,
+        ScoringCall, //
     },
     texts::TextLocation, //
 };
@@ -37,6 +38,7 @@
         headers: Vec::new(),
         body: bytes::Bytes::from_static(b"prompt"),
         expected_tokens: tokens(group, index),
+        scoring: None,
     };
     Record::Batch(Arc::new(Batch {
         id: id.into(),
@@ -55,6 +57,27 @@
     }))
 }
 
+/// Returns the records of a batch like that of [`batch`], whose samples need a score.
+pub(crate) fn scored_batch(id: &str, step: u64, groups: usize) -> Vec<Record> {
+    let Record::Batch(unscored) = batch(id, step, groups, |_, _| 10) else {
+        return Vec::new();
+    };
+    let mut scored = Batch::clone(&unscored);
+    for sample in &mut scored.samples {
+        sample.scoring = Some(scoring_call(&sample.id));
+    }
+    scored.into_records(1 << 16)
+}
+
+pub(crate) fn scoring_call(sample: &str) -> Arc<ScoringCall> {
+    Arc::new(ScoringCall {
+        id: format!("score-{sample}").into(),
+        host: "desk.example".into(),
+        path: "/score/1".into(),
+        body: bytes::Bytes::from_static(b"text"),
+    })
+}
+
 pub(crate) fn result(batch: &str, sample: &str, text: &str) -> SampleResult {
     SampleResult {
         batch: batch.into(),
@@ -66,6 +89,7 @@
             bytes: 10,
         }),
         versions: vec![1],
+        score: None,
     }
 }
 
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -22,7 +22,9 @@
     Record,
     Removed,
     Sample,
-    SampleResult, //
+    SampleEnd,
+    SampleResult,
+    ScoringCall, //
 };
 
 /// Maximum number of results, and of batch parts, that are held until the record of their batch is
@@ -49,12 +51,12 @@
     }
 
     fn add_result(&mut self, result: SampleResult) {
-        let in_batch = self
-            .batch
-            .samples
-            .iter()
-            .any(|sample| sample.id == result.sample);
-        if !in_batch || self.positions.contains_key(&result.sample) {
+        let Some(sample) = self.sample(&result.sample) else {
+            return;
+        };
+        let lacks_score =
+            sample.scoring.is_some() && result.score.is_none() && result.end == SampleEnd::Complete;
+        if lacks_score || self.positions.contains_key(&result.sample) {
             return;
         }
         self.positions
@@ -137,6 +139,8 @@
     claims: HashMap<Arc<str>, LastClaims>,
     /// Samples of batch parts whose batch has not been read, by batch id and part index.
     parts: HashMap<(Arc<str>, u32), Vec<Sample>>,
+    /// Scoring calls by sample, of batches whose record has not been read, by batch id.
+    scoring_calls: HashMap<Arc<str>, HashMap<Arc<str>, ScoringCall>>,
     /// Results whose batch has not been read or is being loaded.
     pending_results: Vec<SampleResult>,
     /// Ids of all ended batches, including those that are not loaded.
@@ -169,11 +173,26 @@
                     .entry(batch)
                     .or_insert(submitted_unix_ms);
             }
+            Record::ScoringCalls { batch, calls, .. } => {
+                if !self.batches.contains_key(&batch)
+                    && self.scoring_calls.len() < MAX_PENDING_RECORDS
+                {
+                    self.scoring_calls.entry(batch).or_default().extend(calls);
+                }
+            }
             Record::Results { results, .. } => {
                 results
                     .into_iter()
                     .for_each(|result| self.add_result(result));
             }
+            Record::ScoredResults { results, .. } => {
+                for (result, score) in results {
+                    self.add_result(SampleResult {
+                        score: Some(score),
+                        ..result
+                    });
+                }
+            }
             Record::BatchEnded { batch } => self.end_batch(batch),
             Record::Heartbeat(heartbeat) => self.apply_heartbeat(heartbeat, now_ms),
             Record::Claim(message) => {
@@ -345,9 +364,11 @@
             .for_each(|result| self.add_result(result));
     }
 
-    /// Joins a batch with its earlier parts. Returns `None` if a part is missing.
+    /// Joins a batch with its earlier parts and its scoring calls. Returns `None` if a part is
+    /// missing.
     fn assemble(&mut self, batch: Arc<Batch>) -> Option<Arc<Batch>> {
-        if batch.earlier_parts == 0 {
+        let mut calls = self.scoring_calls.remove(&batch.id).unwrap_or_default();
+        if batch.earlier_parts == 0 && calls.is_empty() {
             return Some(batch);
         }
         let mut samples = Vec::new();
@@ -356,6 +377,9 @@
         }
         let mut joined = Batch::clone(&batch);
         samples.append(&mut joined.samples);
+        for sample in &mut samples {
+            sample.scoring = calls.remove(&sample.id).map(Arc::new);
+        }
         joined.samples = samples;
         joined.earlier_parts = 0;
         Some(Arc::new(joined))
@@ -458,7 +482,7 @@
 /// then all other records.
 fn replay_rank(record: &Record) -> u8 {
     match record {
-        Record::BatchPart { .. } => 0,
+        Record::BatchPart { .. } | Record::ScoringCalls { .. } => 0,
         Record::Batch(_) => 1,
         _ => 2,
     }
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -26,6 +26,19 @@
     pub reason: String,
 }
 
+/// The request that scores the text of a sample. It is sent once the text is complete.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ScoringCall {
+    /// Request id that the trainer gave to the call.
+    pub id: Arc<str>,
+    /// Host that the call is sent to. Together with the path it selects the route.
+    pub host: Arc<str>,
+    /// Request path at the endpoint.
+    pub path: Arc<str>,
+    /// The request body.
+    pub body: Bytes,
+}
+
 /// One sample that a trainer requested.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Sample {
@@ -43,6 +56,10 @@
     pub body: Bytes,
     /// Expected number of output tokens: the trainer's estimate, or else the allowed maximum.
     pub expected_tokens: u32,
+    /// The call that scores the text; `None` if the sample needs no score. Stored apart, in
+    /// [`Record::ScoringCalls`], so that the encoding of a sample stays as it was.
+    #[serde(skip)]
+    pub scoring: Option<Arc<ScoringCall>>,
 }
 
 /// A batch as submitted by a trainer.
@@ -98,19 +115,26 @@
                 .into_iter()
                 .for_each(|part| part.push(sample.clone()));
         }
-        self.samples = parts.pop().unwrap_or_default();
-        self.earlier_parts = u32::try_from(parts.len()).unwrap_or(u32::MAX);
         let id = self.id.clone();
         let submitted_unix_ms = self.submitted_unix_ms;
+        let scoring_parts = scoring_parts(parts.iter().flatten(), max_bytes);
+        self.samples = parts.pop().unwrap_or_default();
+        self.earlier_parts = u32::try_from(parts.len()).unwrap_or(u32::MAX);
         let mut records: Vec<Record> = (0..)
-            .zip(parts)
-            .map(|(part, samples)| Record::BatchPart {
+            .zip(scoring_parts)
+            .map(|(part, calls)| Record::ScoringCalls {
                 batch: id.clone(),
                 submitted_unix_ms,
                 part,
-                samples,
+                calls,
             })
             .collect();
+        records.extend((0..).zip(parts).map(|(part, samples)| Record::BatchPart {
+            batch: id.clone(),
+            submitted_unix_ms,
+            part,
+            samples,
+        }));
         records.push(Record::BatchAccepted {
             batch: id,
             submitted_unix_ms,
@@ -120,7 +144,33 @@
     }
 }
 
-/// Upper bound for the encoded size of a sample in bytes, without its strings and its body.
+/// Splits the scoring calls of samples into parts of at most about `max_bytes` each.
+fn scoring_parts<'a>(
+    samples: impl Iterator<Item = &'a Sample>,
+    max_bytes: usize,
+) -> Vec<Vec<(Arc<str>, ScoringCall)>> {
+    let mut parts: Vec<Vec<(Arc<str>, ScoringCall)>> = Vec::new();
+    let mut bytes = 0;
+    for sample in samples {
+        let Some(call) = &sample.scoring else {
+            continue;
+        };
+        let texts = sample.id.len() + call.id.len() + call.host.len() + call.path.len();
+        let call_bytes = texts + call.body.len() + SAMPLE_BYTES;
+        if parts.is_empty() || bytes + call_bytes > max_bytes {
+            parts.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += call_bytes;
+        if let Some(part) = parts.last_mut() {
+            part.push((sample.id.clone(), ScoringCall::clone(call)));
+        }
+    }
+    parts
+}
+
+/// Upper bound for the encoded size of a sample or of a scoring call in bytes, without its strings
+/// and its body.
 const SAMPLE_BYTES: usize = 64;
 
 /// The outcome of a sample.
@@ -145,6 +195,10 @@
     pub text: Option<TextLocation>,
     /// All versions of the weights that generated a part of the text.
     pub versions: Vec<u64>,
+    /// The score of the text; `None` if the sample needs no score or was abandoned. Stored beside
+    /// the result, in [`Record::ScoredResults`], so that the encoding of a result stays as it was.
+    #[serde(skip)]
+    pub score: Option<Arc<str>>,
 }
 
 /// Text of a sample that is still being generated, from which another instance can resume.
@@ -160,6 +214,10 @@
     pub text: Arc<str>,
     /// Versions of the weights that generated a part of the text.
     pub versions: Vec<u64>,
+    /// Whether the text is complete and waits for its score only. Such texts are stored under a key
+    /// of their own; see [`super::texts::unscored_key`].
+    #[serde(skip)]
+    pub complete: bool,
 }
 
 /// A heartbeat of an instance, with the properties that other instances need to know.
@@ -287,15 +345,60 @@
         /// Endpoint ids with their models.
         engines: Vec<(Arc<str>, Arc<str>)>,
     },
+    /// Scoring calls of samples of a batch. The [`Record::Batch`] record follows all parts.
+    ScoringCalls {
+        /// Id of the batch.
+        batch: Arc<str>,
+        /// Submission time of the batch in Unix milliseconds.
+        submitted_unix_ms: u64,
+        /// Index of the part, from 0.
+        part: u32,
+        /// Sample ids with their calls.
+        calls: Vec<(Arc<str>, ScoringCall)>,
+    },
+    /// Samples of one batch are finished and scored: like [`Record::Results`], with the score of
+    /// each result.
+    ScoredResults {
+        /// Submission time of the batch in Unix milliseconds.
+        submitted_unix_ms: u64,
+        /// Results of the samples with their scores.
+        results: Vec<(SampleResult, Arc<str>)>,
+    },
 }
 
 impl Record {
+    /// Returns the records that list results of one batch.
+    pub fn of_results(submitted_unix_ms: u64, results: Vec<SampleResult>) -> Vec<Self> {
+        let (mut scored, mut others) = (Vec::new(), Vec::new());
+        for result in results {
+            match result.score.clone() {
+                Some(score) => scored.push((result, score)),
+                None => others.push(result),
+            }
+        }
+        let mut records = Vec::new();
+        if !scored.is_empty() {
+            records.push(Self::ScoredResults {
+                submitted_unix_ms,
+                results: scored,
+            });
+        }
+        if !others.is_empty() {
+            records.push(Self::Results {
+                submitted_unix_ms,
+                results: others,
+            });
+        }
+        records
+    }
+
     /// Returns the id of the batch whose samples or results the record holds.
     pub fn batch(&self) -> Option<&Arc<str>> {
         match self {
             Self::Batch(batch) => Some(&batch.id),
-            Self::BatchPart { batch, .. } => Some(batch),
+            Self::BatchPart { batch, .. } | Self::ScoringCalls { batch, .. } => Some(batch),
             Self::Results { results, .. } => results.first().map(|result| &result.batch),
+            Self::ScoredResults { results, .. } => results.first().map(|(result, _)| &result.batch),
             _ => None,
         }
     }
@@ -334,11 +437,19 @@
                 part,
                 ..
             } => format!("{}/{part}", batch_key(*submitted_unix_ms, batch)),
-            Self::Results {
+            Self::ScoringCalls {
+                batch,
                 submitted_unix_ms,
-                results,
+                part,
+                ..
+            } => format!("{}/s{part}", batch_key(*submitted_unix_ms, batch)),
+            Self::Results {
+                submitted_unix_ms, ..
+            }
+            | Self::ScoredResults {
+                submitted_unix_ms, ..
             } => {
-                let batch = results.first().map_or("", |result| &*result.batch);
+                let batch = self.batch().map_or("", |batch| &**batch);
                 format!(
                     "{}{writer}/{serial}",
                     results_key_prefix(*submitted_unix_ms, batch)
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -52,6 +52,10 @@
 /// Cost of an engine that is in backoff after a failure; higher than the cost of any other engine.
 const BACKOFF_COST: f64 = 3.0;
 
+/// Time that scoring adds to a sample, as the number of output tokens that take as long: a scoring
+/// call takes about 30 ms, a token 0.6 ms.
+const SCORING_TOKENS: u32 = 50;
+
 /// The execution state of a sample that has no result in the ledger yet.
 #[derive(Clone, Debug, Default)]
 pub struct Progress {
@@ -209,7 +213,7 @@
     for sample in samples {
         let group = groups.entry(&sample.group).or_default();
         group.0 |= earlier_samples.contains(&sample.id);
-        group.1 = group.1.max(sample.expected_tokens);
+        group.1 = group.1.max(expected_length(sample));
     }
     let mut new_groups: Vec<(u32, &Arc<str>)> = groups
         .iter()
@@ -234,12 +238,20 @@
             deferred.contains(&sample.group),
             Reverse(max_tokens),
             sample.group.clone(),
-            Reverse(sample.expected_tokens),
+            Reverse(expected_length(sample)),
         )
     });
     order
 }
 
+/// Returns how long a sample is expected to take until it has its result, in output tokens.
+fn expected_length(sample: &Sample) -> u32 {
+    match sample.scoring {
+        Some(_) => sample.expected_tokens.saturating_add(SCORING_TOKENS),
+        None => sample.expected_tokens,
+    }
+}
+
 /// The sample properties that restrict which engines may run it.
 struct EngineQuery<'a> {
     service: &'a str,
--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -8,10 +8,14 @@
         heartbeat,
         listing,
         result,
-        results, //
+        results,
+        scoring_call, //
     },
     migration::Pace,
-    record::Record, //
+    record::{
+        Batch,
+        Record, //
+    }, //
 };
 
 fn ledger(records: Vec<Record>) -> Ledger {
@@ -236,3 +240,17 @@
         &ledger, &endpoints, "drafting", state, first, 0
     ));
 }
+
+/// The time of the scoring call counts in the time that a sample takes.
+#[test]
+fn sample_with_a_score_starts_before_an_equally_long_one_without() {
+    let Record::Batch(unscored) = batch("b", 1, 4, |_, _| 10) else {
+        unreachable!()
+    };
+    let mut mixed = Batch::clone(&unscored);
+    mixed.wanted_groups = 4;
+    mixed.samples[2].scoring = Some(scoring_call("s1.0"));
+    let ledger = ledger(mixed.into_records(1 << 16));
+    let order = start_order(&ledger.batches["b"], &ledger);
+    assert_eq!(order[0], 2);
+}
--- a/flamingoscale/src/fleet/texts.rs
+++ b/flamingoscale/src/fleet/texts.rs
@@ -74,6 +74,20 @@
     format!("{}{instance}", unfinished_key_prefix(model))
 }
 
+/// Returns the key under which an instance stores the complete texts of a model's samples that wait
+/// for their score. The key has the prefix of the unfinished texts.
+pub fn unscored_key(model: &str, instance: &str) -> String {
+    format!("{}{UNSCORED_SUFFIX}", unfinished_key(model, instance))
+}
+
+/// Returns whether a key is one from [`unscored_key`].
+pub fn is_unscored_key(key: &str) -> bool {
+    key.ends_with(UNSCORED_SUFFIX)
+}
+
+/// End of the keys from [`unscored_key`]. Names of instances have no slash.
+const UNSCORED_SUFFIX: &str = "/unscored";
+
 /// Returns the key prefix of the texts of a model's unfinished samples.
 pub fn unfinished_key_prefix(model: &str) -> String {
     format!("{model}/")
@@ -136,7 +150,8 @@
 const RESULT_BYTES: usize = 200;
 
 /// Merges texts of unfinished samples that another instance stored into `partials`. The longest
-/// text of each open sample is kept.
+/// text of each open sample is kept; of two texts of one length, the one that is known to be
+/// complete.
 pub fn merge_unfinished(
     partials: &mut HashMap<SampleId, PartialText>,
     stored: impl IntoIterator<Item = PartialText>,
@@ -145,9 +160,10 @@
     for partial in stored {
         let is_open = ledger.is_sample_open(&partial.batch, &partial.sample);
         let id = (partial.batch.clone(), partial.sample.clone());
+        let length = |partial: &PartialText| (partial.last_event, partial.complete);
         let is_longer = partials
             .get(&id)
-            .is_none_or(|existing| existing.last_event < partial.last_event);
+            .is_none_or(|existing| length(existing) < length(&partial));
         if is_open && is_longer {
             partials.insert(id, partial);
         }
--- a/flamingoscale/src/fleet/texts/tests.rs
+++ b/flamingoscale/src/fleet/texts/tests.rs
@@ -65,9 +65,32 @@
         last_event,
         text: format!("{last_event} events").into(),
         versions: vec![1],
+        complete: false,
     }
 }
 
+/// A text that only lacks its score must not be generated again after a handover.
+#[test]
+fn complete_text_replaces_an_unfinished_one_of_the_same_length() {
+    let mut ledger = Ledger::default();
+    ledger.apply(0, batch("b", 1, 2, |_, _| 10), 0);
+    let complete = PartialText {
+        complete: true,
+        ..partial("s0.0", 4)
+    };
+    for stored in [
+        [partial("s0.0", 4), complete.clone()],
+        [complete.clone(), partial("s0.0", 4)],
+    ] {
+        let mut partials = HashMap::new();
+        merge_unfinished(&mut partials, stored, &ledger);
+        let kept: Vec<PartialText> = partials.into_values().collect();
+        assert_eq!(kept, std::slice::from_ref(&complete));
+    }
+    assert!(is_unscored_key(&unscored_key("notes", "n1")));
+    assert!(!is_unscored_key(&unfinished_key("notes", "n1")));
+}
+
 /// Two instances may have stored texts of the same sample, and the shorter text may be read last.
 #[test]
 fn longest_text_of_an_unfinished_sample_is_kept() {
