What an instance reads no longer grows with the fleet

Change: small facts stay in keyed.fleet, read by all; batches and results go to keyed.batches, by model, followed by the instance that runs the samples and read by others when asked; counts go to keyed.usage, read when a window is settled; heartbeats go to cells of 64 instances. A batch is accepted by the small record that registers it. Changed expectations: the stranger's result and the result without a score are refused by who writes (Batch::permits), since who lists results no longer reads the batch; both tests follow. A played test lets up to 1,000 instances that were put off together catch up; with the former pace they never do. Instances of this release and of earlier ones can't share a store.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -6,6 +6,7 @@
 //! described in `docs/design/shared-store.md`.
 
 pub mod attempts;
+pub mod cells;
 pub mod choice;
 pub mod configuration;
 pub mod endpoints;
@@ -17,6 +18,7 @@
 pub mod ledger;
 pub mod loads;
 pub mod migration;
+pub mod pacing;
 pub mod record;
 pub mod sampling;
 pub mod scoring;
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -10,6 +10,7 @@
         Endpoints,
         Listing, //
     },
+    ledger::Ledger,
     record::{
         Batch,
         Heartbeat,
@@ -23,6 +24,27 @@
     texts::TextLocation, //
 };
 
+/// Applies a record to a ledger. A batch is registered first, and milestones are recorded.
+pub(crate) fn apply(ledger: &mut Ledger, offset: u64, record: Record, now_ms: u64) {
+    if let Record::Batch(batch) = &record {
+        let registered = Record::BatchRegistered(batch.summary());
+        ledger.apply(offset, registered, now_ms);
+    }
+    ledger.apply(offset, record, now_ms);
+    for milestone in ledger.due_milestones() {
+        ledger.apply(offset, milestone, now_ms);
+    }
+}
+
+/// Returns a ledger with these records applied at time 0.
+pub(crate) fn ledger_of(records: impl IntoIterator<Item = Record>) -> Ledger {
+    let mut ledger = Ledger::default();
+    for (offset, record) in (0..).zip(records) {
+        apply(&mut ledger, offset, record, 0);
+    }
+    ledger
+}
+
 /// Returns a batch of `groups` groups of two samples. Sample `s<g>.<i>` has `tokens(g, i)` expected
 /// tokens.
 pub(crate) fn batch(
--- a/flamingoscale/src/fleet/leases.rs
+++ b/flamingoscale/src/fleet/leases.rs
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    cells::Cell,
     ledger::{
         LeaseState,
         Ledger, //
@@ -87,6 +88,8 @@
     pub instance: Arc<str>,
     /// Incarnation of the instance.
     pub incarnation: u64,
+    /// The cell of the instance, which decides in which order it may claim a lease.
+    pub cell: Cell,
     /// When the process started, in monotonic milliseconds.
     pub started_ms: u64,
     /// When the instance first read the topic to its end, in monotonic milliseconds.
@@ -152,37 +155,43 @@
         }
     }
     let startup_end_ms = candidate.caught_up_ms + timing.startup_delay_ms;
-    if now_ms < startup_end_ms {
+    let due_ms = match current {
+        None => startup_end_ms + FIRST_CLAIM_DELAY_MS,
+        Some(state) => startup_end_ms.max(vacant_from_ms(ledger, state, timing, candidate)),
+    };
+    if now_ms < due_ms {
         return None;
     }
-    let rank = claim_order(ledger, lease, now_ms)
+    let rank = claim_rank(ledger, lease, candidate, now_ms)?;
+    let epoch = current.map_or(0, |state| state.last_message.epoch) + 1;
+    (now_ms >= due_ms + rank as u64 * RANK_DELAY_MS).then_some(epoch)
+}
+
+/// Returns when other instances may claim a lease, in monotonic milliseconds.
+fn vacant_from_ms(
+    ledger: &Ledger,
+    state: &LeaseState,
+    timing: LeaseTiming,
+    candidate: &Candidate,
+) -> u64 {
+    let holder = ledger.members.get(&state.last_message.holder);
+    let holder_restarted =
+        holder.is_some_and(|member| member.heartbeat.incarnation > state.last_message.incarnation);
+    if state.released || holder_restarted {
+        return state.seen_ms;
+    }
+    // After a store outage it takes a while until the holder's messages are read again.
+    let from_ms = state.seen_ms.max(candidate.connected_since_ms);
+    from_ms + timing.lease_ms + timing.guard_ms
+}
+
+/// Returns how many instances may claim a lease before this one: the cells take turns, and in each
+/// cell the instances follow the claim order.
+fn claim_rank(ledger: &Ledger, lease: &str, candidate: &Candidate, now_ms: u64) -> Option<usize> {
+    let position = claim_order(ledger, lease, now_ms)
         .iter()
         .position(|name| *name == candidate.instance)?;
-    let wait_ms = rank as u64 * RANK_DELAY_MS;
-    if now_ms < startup_end_ms + wait_ms {
-        return None;
-    }
-    match current {
-        None => (now_ms >= startup_end_ms + FIRST_CLAIM_DELAY_MS + wait_ms).then_some(1),
-        Some(state) => {
-            let holder_restarted =
-                ledger
-                    .members
-                    .get(&state.last_message.holder)
-                    .is_some_and(|member| {
-                        member.heartbeat.incarnation > state.last_message.incarnation
-                    });
-            let due_ms = match state.released || holder_restarted {
-                true => state.seen_ms + wait_ms,
-                // After a store outage it takes a while until the holder's messages are read again.
-                false => {
-                    let from_ms = state.seen_ms.max(candidate.connected_since_ms);
-                    from_ms + timing.lease_ms + timing.guard_ms + wait_ms
-                }
-            };
-            (now_ms >= due_ms).then_some(state.last_message.epoch + 1)
-        }
-    }
+    Some(position * candidate.cell.count as usize + candidate.cell.rank(lease))
 }
 
 /// The message that an instance should append for a lease.
--- a/flamingoscale/src/fleet/leases/tests.rs
+++ b/flamingoscale/src/fleet/leases/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::fleet::{
+    cells::Cell,
     fixtures::{
         heartbeat,
         heartbeat_with_millicores,
@@ -25,6 +26,7 @@
     Candidate {
         instance: instance.into(),
         incarnation: 1,
+        cell: Cell::default(),
         started_ms: 0,
         caught_up_ms: 0,
         connected_since_ms: 0,
@@ -101,6 +103,7 @@
     let restarted = Candidate {
         instance: "n1".into(),
         incarnation: 2,
+        cell: Cell::default(),
         started_ms: 99_000,
         caught_up_ms: 100_000,
         connected_since_ms: 0,
@@ -272,6 +275,7 @@
     let candidate = Candidate {
         instance: order[0].clone(),
         incarnation: 2,
+        cell: Cell::default(),
         started_ms: 0,
         caught_up_ms: 1_000,
         connected_since_ms: 0,
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -1,8 +1,9 @@
 //! The state that results from replaying the records of the shared topic.
 //!
-//! All instances replay the same records in offset order. A sample's position in its batch is the
-//! rank of the first record that finished it, so every instance lists the results of a batch in the
-//! same order.
+//! All instances replay the same small records in offset order. Batches and results stand in topics
+//! of their own, which only those follow that run the samples; see [`Ledger::batches`].
+
+mod followed;
 
 use std::{
     cmp::Reverse,
@@ -15,55 +16,30 @@
     sync::Arc, //
 };
 
+use self::followed::PendingRecords;
+pub use self::followed::{
+    joined_batch,
+    BatchState,
+    ResultList, //
+};
 use super::record::{
-    Batch,
+    batch_partition,
+    BatchSummary,
     Heartbeat,
     LeaseMessage,
+    Milestone,
     Record,
     Removed,
-    Sample,
-    SampleEnd,
-    SampleResult,
-    ScoringCall, //
+    SampleResult, //
 };
 
-/// Maximum number of results, and of batch parts, that are held until the record of their batch is
-/// read. The limit keeps records of unknown batches from exhausting memory.
-const MAX_PENDING_RECORDS: usize = 4_096;
+/// Batches that were submitted longer ago than this count as over, even if no end was recorded. No
+/// batch may run for longer than 40 s.
+const MAX_OPEN_MS: u64 = 60_000;
 
-/// A batch with the results that have been read so far.
-#[derive(Debug)]
-pub struct BatchState {
-    /// The batch as it was submitted, with all its parts joined.
-    pub batch: Arc<Batch>,
-    /// Results of finished samples, indexed by position.
-    pub results: Vec<Rc<SampleResult>>,
-    /// Position in `results` of each finished sample, by sample id.
-    pub positions: HashMap<Arc<str>, usize>,
-    /// Whether the batch has ended, so that no further sample of it may start.
-    pub ended: bool,
-}
-
-impl BatchState {
-    /// Returns the sample with the given id.
-    pub fn sample(&self, id: &str) -> Option<&Sample> {
-        self.batch.samples.iter().find(|sample| &*sample.id == id)
-    }
-
-    fn add_result(&mut self, result: SampleResult) {
-        let Some(sample) = self.sample(&result.sample) else {
-            return;
-        };
-        let lacks_score =
-            sample.scoring.is_some() && result.score.is_none() && result.end == SampleEnd::Complete;
-        if lacks_score || self.positions.contains_key(&result.sample) {
-            return;
-        }
-        self.positions
-            .insert(result.sample.clone(), self.results.len());
-        self.results.push(Rc::new(result));
-    }
-}
+/// Number of the newest batches of a model that the instance that runs the model's samples reads,
+/// even if they have ended: their samples may be submitted again.
+const RECENT_BATCHES: usize = 2;
 
 /// The current holder of a lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -95,17 +71,12 @@
     pub seen_ms: u64,
 }
 
-/// Requests by organisation, keyed by instance and incarnation.
-type CountsByInstance = HashMap<(Arc<str>, u64), Vec<(Arc<str>, u64)>>;
-
 /// The incarnation and the send time of the most recent claim that was read from each instance.
 type LastClaims = HashMap<Arc<str>, (u64, u64)>;
 
 /// The usage counts of one window of wall-clock time.
 #[derive(Debug, Default)]
 pub struct WindowState {
-    /// Requests counted by each incarnation of each instance.
-    pub counts_by_instance: CountsByInstance,
     /// The counts in the first record that settled the window; only these are reported. `None`
     /// until such a record has been read.
     pub settled: Option<Vec<(Arc<str>, u64)>>,
@@ -118,7 +89,9 @@
 pub struct Ledger {
     /// Offset of the next record to read.
     pub next_offset: u64,
-    /// Batches by id, except those whose records have not been loaded from the store.
+    /// All accepted batches by id.
+    pub registered: HashMap<Arc<str>, RegisteredBatch>,
+    /// The batches whose records and results this instance follows, by id.
     pub batches: HashMap<Arc<str>, BatchState>,
     /// Leases by name.
     pub leases: HashMap<Arc<str>, LeaseState>,
@@ -130,67 +103,50 @@
     pub suspects: HashMap<u64, u32>,
     /// The model that each engine primarily serves, by endpoint id.
     pub assignments: HashMap<Arc<str>, Arc<str>>,
-    /// Submission time of every known batch in Unix milliseconds, including batches that are not
-    /// loaded.
-    pub submitted_unix_ms: HashMap<Arc<str>, u64>,
     /// The most recent result of each sample, from any batch.
     pub last_results: HashMap<Arc<str>, Rc<SampleResult>>,
     /// The most recent claims, by lease.
     claims: HashMap<Arc<str>, LastClaims>,
-    /// Samples of batch parts whose batch has not been read, by batch id and part index.
-    parts: HashMap<(Arc<str>, u32), Vec<Sample>>,
-    /// Scoring calls by sample, of batches whose record has not been read, by batch id.
-    scoring_calls: HashMap<Arc<str>, HashMap<Arc<str>, ScoringCall>>,
-    /// Results whose batch has not been read or is being loaded.
-    pending_results: Vec<SampleResult>,
-    /// Ids of all ended batches, including those that are not loaded.
+    /// Records of followed batches that can't be applied yet.
+    pending: PendingRecords,
+    /// Ids of all ended batches, including those that are not registered.
     ended: HashSet<Arc<str>>,
-    /// Ids of the batches that are being loaded.
-    loading: HashSet<Arc<str>>,
+}
+
+/// A batch that was accepted.
+#[derive(Clone, Debug)]
+pub struct RegisteredBatch {
+    /// What every instance knows of the batch.
+    pub summary: Rc<BatchSummary>,
+    /// Whether the batch has ended, so that no further sample of it may start.
+    pub ended: bool,
+    /// The last milestone that was recorded.
+    pub milestone: Option<Milestone>,
+}
+
+impl RegisteredBatch {
+    /// Returns whether samples of the batch may still lack a result.
+    pub fn is_unfinished(&self) -> bool {
+        !self.ended && self.milestone < Some(Milestone::Finished)
+    }
 }
 
 impl Ledger {
-    /// Applies one record. The caller must apply the records in offset order.
+    /// Applies one record of the fleet topic. The caller must apply the records in offset order.
     pub fn apply(&mut self, offset: u64, record: Record, now_ms: u64) {
         self.next_offset = self.next_offset.max(offset + 1);
         match record {
-            Record::Batch(batch) => self.accept_batch(batch),
-            Record::BatchPart {
-                batch,
-                part,
-                samples,
-                ..
-            } => {
-                if !self.batches.contains_key(&batch) && self.parts.len() < MAX_PENDING_RECORDS {
-                    self.parts.insert((batch, part), samples);
-                }
-            }
-            Record::BatchAccepted {
-                batch,
-                submitted_unix_ms,
-            } => {
-                self.submitted_unix_ms
-                    .entry(batch)
-                    .or_insert(submitted_unix_ms);
-            }
-            Record::ScoringCalls { batch, calls, .. } => {
-                if !self.batches.contains_key(&batch)
-                    && self.scoring_calls.len() < MAX_PENDING_RECORDS
-                {
-                    self.scoring_calls.entry(batch).or_default().extend(calls);
-                }
-            }
-            Record::Results { results, .. } => {
-                results
-                    .into_iter()
-                    .for_each(|result| self.add_result(result));
-            }
-            Record::ScoredResults { results, .. } => {
-                for (result, score) in results {
-                    self.add_result(SampleResult {
-                        score: Some(score),
-                        ..result
-                    });
+            Record::Batch(_)
+            | Record::BatchPart { .. }
+            | Record::ScoringCalls { .. }
+            | Record::Results { .. }
+            | Record::ScoredResults { .. } => self.apply_batch_record(record),
+            // Counts are read when their window is settled.
+            Record::BatchAccepted { .. } | Record::UsageCounts { .. } => (),
+            Record::BatchRegistered(summary) => self.register_batch(summary),
+            Record::BatchMilestone { batch, milestone } => {
+                if let Some(registered) = self.registered.get_mut(&batch) {
+                    registered.milestone = registered.milestone.max(Some(milestone));
                 }
             }
             Record::BatchEnded { batch } => self.end_batch(batch),
@@ -209,17 +165,6 @@
             Record::Release { message, term } => {
                 self.apply_lease_message(message, term, true, now_ms)
             }
-            Record::UsageCounts {
-                instance,
-                incarnation,
-                window,
-                counts,
-            } => {
-                let state = self.windows.entry(window).or_default();
-                state
-                    .counts_by_instance
-                    .insert((instance, incarnation), counts);
-            }
             Record::WindowSettled { window, counts } => {
                 let state = self.windows.entry(window).or_default();
                 state.settled.get_or_insert(counts);
@@ -234,15 +179,11 @@
         }
     }
 
-    /// Applies the compacted records that the store holds before `end_offset`.
-    ///
-    /// Batches are applied before all other records, because the record of a batch that was
-    /// submitted again may have a greater offset than the first results of the batch.
+    /// Applies the compacted records of the fleet topic that the store holds before `end_offset`.
+    /// Records that were applied before are skipped.
     pub fn bootstrap(&mut self, mut records: Vec<(u64, Record)>, end_offset: u64, now_ms: u64) {
-        records.retain(|(offset, record)| {
-            *offset < end_offset && (replay_rank(record) < 2 || *offset >= self.next_offset)
-        });
-        records.sort_by_key(|(offset, record)| (replay_rank(record), *offset));
+        records.retain(|(offset, _)| (self.next_offset..end_offset).contains(offset));
+        records.sort_by_key(|(offset, _)| *offset);
         for (offset, record) in records {
             self.apply(offset, record, now_ms);
         }
@@ -252,38 +193,60 @@
     /// Returns whether a sample still lacks a result and its batch has not ended.
     pub fn is_sample_open(&self, batch: &str, sample: &str) -> bool {
         let state = self.batches.get(batch);
-        state.is_some_and(|state| !state.ended && !state.positions.contains_key(sample))
+        state.is_some_and(|state| !state.ended && !state.results.contains(sample))
     }
 
-    /// Returns the submission time, in Unix milliseconds, of a batch that is known but not loaded;
-    /// `None` for a loaded or an unknown batch.
-    pub fn unloaded_submitted_unix_ms(&self, batch: &str) -> Option<u64> {
-        let submitted_unix_ms = self.submitted_unix_ms.get(batch).copied();
-        submitted_unix_ms.filter(|_| !self.batches.contains_key(batch))
+    /// Returns the batches of a partition that the instance that runs their samples has to read:
+    /// those that are open and the newest ones of each model.
+    pub fn needed_batches(&self, partition: u32, now_unix_ms: u64) -> Vec<Rc<BatchSummary>> {
+        let mut by_model: HashMap<&Arc<str>, Vec<&RegisteredBatch>> = HashMap::new();
+        let in_partition = self
+            .registered
+            .values()
+            .filter(|registered| batch_partition(&registered.summary.model) == partition);
+        for registered in in_partition {
+            let batches = by_model.entry(&registered.summary.model).or_default();
+            batches.push(registered);
+        }
+        let mut needed = Vec::new();
+        for mut batches in by_model.into_values() {
+            batches.sort_by_key(|registered| Reverse(registered.summary.submitted_unix_ms));
+            for (rank, registered) in batches.into_iter().enumerate() {
+                let age_ms = now_unix_ms.saturating_sub(registered.summary.submitted_unix_ms);
+                let is_open = !registered.ended && age_ms < MAX_OPEN_MS;
+                if is_open || rank < RECENT_BATCHES {
+                    needed.push(registered.summary.clone());
+                }
+            }
+        }
+        needed
     }
 
-    /// Returns the submission time, in Unix milliseconds, of the oldest batch that was submitted at
-    /// or after `since_unix_ms` and has not ended.
-    pub fn oldest_open_batch_unix_ms(&self, since_unix_ms: u64) -> Option<u64> {
-        self.submitted_unix_ms
-            .iter()
-            .filter(|(batch, _)| !self.ended.contains(*batch))
-            .map(|(_, submitted_unix_ms)| *submitted_unix_ms)
-            .filter(|submitted_unix_ms| *submitted_unix_ms >= since_unix_ms)
-            .min()
+    /// Returns the milestones that followed batches have reached and that are not recorded.
+    pub fn due_milestones(&self) -> Vec<Record> {
+        let due = |state: &BatchState| {
+            let registered = self.registered.get(&state.batch.id)?;
+            let half_finished = state.results.len() * 2 >= state.batch.samples.len();
+            let reached = match state.is_finished() {
+                true => Some(Milestone::Finished),
+                false => half_finished.then_some(Milestone::HalfFinished),
+            };
+            let milestone = reached.filter(|_| !state.ended && registered.milestone < reached)?;
+            Some(Record::BatchMilestone {
+                batch: state.batch.id.clone(),
+                milestone,
+            })
+        };
+        self.batches.values().filter_map(due).collect()
     }
 
-    /// Returns the oldest ended batch that was submitted before `before_unix_ms`, with its
-    /// submission time in Unix milliseconds.
-    pub fn oldest_expired_batch(&self, before_unix_ms: u64) -> Option<(Arc<str>, u64)> {
-        let expired = self
-            .submitted_unix_ms
-            .iter()
-            .filter(|(batch, submitted_unix_ms)| {
-                **submitted_unix_ms < before_unix_ms && self.ended.contains(*batch)
-            });
-        let oldest = expired.min_by_key(|(_, submitted_unix_ms)| **submitted_unix_ms)?;
-        Some((oldest.0.clone(), *oldest.1))
+    /// Returns the oldest ended batch that was submitted before `before_unix_ms`.
+    pub fn oldest_expired_batch(&self, before_unix_ms: u64) -> Option<Rc<BatchSummary>> {
+        let expired = self.registered.values().filter(|registered| {
+            registered.ended && registered.summary.submitted_unix_ms < before_unix_ms
+        });
+        let oldest = expired.min_by_key(|registered| registered.summary.submitted_unix_ms)?;
+        Some(oldest.summary.clone())
     }
 
     /// Returns the oldest reported window whose number is below `before`.
@@ -299,117 +262,39 @@
         match removed {
             Removed::Window(window) => drop(self.windows.remove(&window)),
             Removed::Batch(batch) => {
-                self.submitted_unix_ms.remove(batch);
+                self.registered.remove(batch);
                 self.ended.remove(batch);
-                self.batches.remove(batch);
-                self.last_results
-                    .retain(|_, result| *result.batch != *batch);
+                self.unload(|state| *state.batch.id == *batch);
             }
         }
     }
 
-    /// Starts loading a batch. Results of the batch that are read from the topic are held back
-    /// until [`Ledger::end_load`].
-    pub fn begin_load(&mut self, batch: &Arc<str>) {
-        self.loading.insert(batch.clone());
-    }
-
-    /// Applies the records of a batch that was not loaded, and ends its loading.
-    ///
-    /// Records of other batches are ignored: the key range of one batch may include the record of
-    /// another batch that was submitted in the same millisecond, but not the results of that batch.
-    pub fn end_load(&mut self, batch: &Arc<str>, mut records: Vec<(u64, Record)>, now_ms: u64) {
-        let next_offset = self.next_offset;
-        records.retain(|(_, record)| record.batch() == Some(batch));
-        records.sort_by_key(|(offset, record)| (replay_rank(record), *offset));
-        // Results that were read from the topic during the load come after the loaded ones.
-        let received_during_load = std::mem::take(&mut self.pending_results);
-        for (offset, record) in records {
-            self.apply(offset, record, now_ms);
-        }
-        self.next_offset = next_offset;
-        received_during_load
-            .into_iter()
-            .for_each(|result| self.add_result(result));
-        self.loading.remove(batch);
-    }
-
-    fn accept_batch(&mut self, batch: Arc<Batch>) {
-        if self.batches.contains_key(&batch.id) {
-            return;
-        }
-        // A repeated submission has another submission time. Only the records of the first
-        // submission are valid.
-        let first_submitted_unix_ms = self.submitted_unix_ms.get(&batch.id).copied();
-        if first_submitted_unix_ms.is_some_and(|first| first != batch.submitted_unix_ms) {
+    fn register_batch(&mut self, summary: BatchSummary) {
+        if self.registered.contains_key(&summary.id) {
             return;
         }
-        let Some(batch) = self.assemble(batch) else {
-            return;
-        };
-        let id = batch.id.clone();
-        let state = BatchState {
-            batch,
-            results: Vec::new(),
-            positions: HashMap::new(),
+        let id = summary.id.clone();
+        let registered = RegisteredBatch {
             ended: self.ended.contains(&id),
+            milestone: None,
+            summary: Rc::new(summary),
         };
-        self.batches.insert(id.clone(), state);
-        let (batch_results, others) = std::mem::take(&mut self.pending_results)
-            .into_iter()
-            .partition::<Vec<_>, _>(|result| result.batch == id);
-        self.pending_results = others;
-        batch_results
-            .into_iter()
-            .for_each(|result| self.add_result(result));
-    }
-
-    /// Joins a batch with its earlier parts and its scoring calls. Returns `None` if a part is
-    /// missing.
-    fn assemble(&mut self, batch: Arc<Batch>) -> Option<Arc<Batch>> {
-        let mut calls = self.scoring_calls.remove(&batch.id).unwrap_or_default();
-        if batch.earlier_parts == 0 && calls.is_empty() {
-            return Some(batch);
-        }
-        let mut samples = Vec::new();
-        for part in 0..batch.earlier_parts {
-            samples.extend(self.parts.remove(&(batch.id.clone(), part))?);
-        }
-        let mut joined = Batch::clone(&batch);
-        samples.append(&mut joined.samples);
-        for sample in &mut samples {
-            sample.scoring = calls.remove(&sample.id).map(Arc::new);
-        }
-        joined.samples = samples;
-        joined.earlier_parts = 0;
-        Some(Arc::new(joined))
-    }
-
-    fn add_result(&mut self, result: SampleResult) {
-        let Some(state) = self.batches.get_mut(&result.batch) else {
-            let loading = self.loading.contains(&result.batch);
-            let unknown = !self.submitted_unix_ms.contains_key(&result.batch);
-            if (loading || unknown) && self.pending_results.len() < MAX_PENDING_RECORDS {
-                self.pending_results.push(result);
-            }
-            return;
-        };
-        let before = state.results.len();
-        state.add_result(result);
-        if let Some(result) = state.results.get(before) {
-            self.last_results
-                .insert(result.sample.clone(), result.clone());
-        }
+        self.registered.insert(id.clone(), registered);
+        self.accept_stored(&id);
     }
 
     fn end_batch(&mut self, batch: Arc<str>) {
         if let Some(state) = self.batches.get_mut(&batch) {
             state.ended = true;
         }
+        if let Some(registered) = self.registered.get_mut(&batch) {
+            registered.ended = true;
+        }
         self.ended.insert(batch);
     }
 
-    fn apply_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) {
+    /// Applies a heartbeat, from the fleet topic or from the cell of this instance.
+    pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) {
         let is_older = self
             .members
             .get(&heartbeat.instance)
@@ -478,15 +363,5 @@
     }
 }
 
-/// Returns the rank of a record in the replay at start-up: batch parts come first, then batches,
-/// then all other records.
-fn replay_rank(record: &Record) -> u8 {
-    match record {
-        Record::BatchPart { .. } | Record::ScoringCalls { .. } => 0,
-        Record::Batch(_) => 1,
-        _ => 2,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/flamingoscale/src/fleet/loads.rs
+++ b/flamingoscale/src/fleet/loads.rs
@@ -57,11 +57,10 @@
     let mut required = latest_versions.clone();
     for (model, version) in &mut required {
         let min_version = ledger
-            .batches
+            .registered
             .values()
-            .filter(|state| !state.ended && state.batch.model == *model)
-            .filter(|state| state.positions.len() < state.batch.samples.len())
-            .map(|state| state.batch.min_version)
+            .filter(|registered| registered.is_unfinished() && registered.summary.model == *model)
+            .map(|registered| registered.summary.min_version)
             .max();
         *version = min_version.unwrap_or(*version).min(*version);
     }
@@ -72,10 +71,10 @@
 /// that load from then on keep no sample waiting.
 fn mostly_finished(ledger: &Ledger, model: &str) -> bool {
     ledger
-        .batches
+        .registered
         .values()
-        .filter(|state| !state.ended && *state.batch.model == *model)
-        .all(|state| state.positions.len() * 2 >= state.batch.samples.len())
+        .filter(|registered| !registered.ended && *registered.summary.model == *model)
+        .all(|registered| registered.milestone.is_some())
 }
 
 /// Schedules load orders and tracks those that have not taken effect yet.
--- a/flamingoscale/src/fleet/loads/tests.rs
+++ b/flamingoscale/src/fleet/loads/tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 use crate::fleet::{
     fixtures::{
+        apply,
         batch,
         endpoints,
         listing,
@@ -52,9 +53,9 @@
     let (mut ledger, endpoints) = assigned_engines(2);
     let mut loads = LoadScheduler::default();
     // The open batch of step 2 allows version 1, so no engine loads.
-    ledger.apply(1, batch("b2", 2, 2, |_, _| 10), 0);
+    apply(&mut ledger, 1, batch("b2", 2, 2, |_, _| 10), 0);
     assert_eq!(due(&mut loads, &ledger, &endpoints, 0), 0);
-    ledger.apply(2, Record::BatchEnded { batch: "b2".into() }, 0);
+    apply(&mut ledger, 2, Record::BatchEnded { batch: "b2".into() }, 0);
     assert_eq!(due(&mut loads, &ledger, &endpoints, 0), 2);
 }
 
@@ -64,10 +65,20 @@
 fn half_of_the_engines_load_while_the_last_samples_run() {
     let (mut ledger, mut endpoints) = assigned_engines(4);
     let mut loads = LoadScheduler::default();
-    ledger.apply(1, batch("b2", 2, 2, |_, _| 10), 0);
-    ledger.apply(2, results(vec![result("b2", "s0.0", "text")]), 0);
+    apply(&mut ledger, 1, batch("b2", 2, 2, |_, _| 10), 0);
+    apply(
+        &mut ledger,
+        2,
+        results(vec![result("b2", "s0.0", "text")]),
+        0,
+    );
     assert_eq!(due(&mut loads, &ledger, &endpoints, 0), 0);
-    ledger.apply(3, results(vec![result("b2", "s0.1", "text")]), 0);
+    apply(
+        &mut ledger,
+        3,
+        results(vec![result("b2", "s0.1", "text")]),
+        0,
+    );
     assert_eq!(due(&mut loads, &ledger, &endpoints, 100), 2);
     assert_eq!(due(&mut loads, &ledger, &endpoints, 200), 0);
     for id in ["e0", "e1"] {
@@ -76,14 +87,14 @@
     }
     assert_eq!(due(&mut loads, &ledger, &endpoints, 300), 0);
     // The next step requires version 2: the other engines load while the first two run samples.
-    ledger.apply(4, batch("b3", 3, 2, |_, _| 10), 0);
+    apply(&mut ledger, 4, batch("b3", 3, 2, |_, _| 10), 0);
     assert_eq!(due(&mut loads, &ledger, &endpoints, 400), 2);
 }
 
 #[test]
 fn engines_load_immediately_if_an_open_batch_requires_it() {
     let (mut ledger, endpoints) = assigned_engines(2);
-    ledger.apply(1, batch("b3", 3, 2, |_, _| 10), 0);
+    apply(&mut ledger, 1, batch("b3", 3, 2, |_, _| 10), 0);
     assert_eq!(
         due(&mut LoadScheduler::default(), &ledger, &endpoints, 0),
         2
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -12,6 +12,7 @@
     Deserialize,
     Serialize, //
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::texts::TextLocation;
 
@@ -90,6 +91,37 @@
 }
 
 impl Batch {
+    /// Returns what every instance has to know of the batch.
+    pub fn summary(&self) -> BatchSummary {
+        let expected_tokens = self.samples.iter();
+        BatchSummary {
+            id: self.id.clone(),
+            organisation: self.organisation.clone(),
+            model: self.model.clone(),
+            step: self.step,
+            min_version: self.min_version,
+            submitted_unix_ms: self.submitted_unix_ms,
+            samples: u32::try_from(self.samples.len()).unwrap_or(u32::MAX),
+            expected_tokens: expected_tokens
+                .map(|sample| u64::from(sample.expected_tokens))
+                .sum(),
+        }
+    }
+
+    /// Returns the sample with the given id.
+    pub fn sample(&self, id: &str) -> Option<&Sample> {
+        self.samples.iter().find(|sample| &*sample.id == id)
+    }
+
+    /// Returns whether a result may be listed: it is of a sample of the batch, and a complete text
+    /// has its score if the sample needs one.
+    pub fn permits(&self, result: &SampleResult) -> bool {
+        self.sample(&result.sample).is_some_and(|sample| {
+            let has_score = sample.scoring.is_none() || result.score.is_some();
+            has_score || result.end == SampleEnd::Failed
+        })
+    }
+
     /// Splits the batch into records of at most about `max_bytes` each. The last record makes the
     /// batch visible; the caller must append the others before it.
     pub fn into_records(mut self, max_bytes: usize) -> Vec<Record> {
@@ -135,10 +167,6 @@
             part,
             samples,
         }));
-        records.push(Record::BatchAccepted {
-            batch: id,
-            submitted_unix_ms,
-        });
         records.push(Record::Batch(Arc::new(self)));
         records
     }
@@ -169,6 +197,36 @@
     parts
 }
 
+/// What every instance knows of a batch. The batch itself is read only by those that need it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchSummary {
+    /// Id that the trainer gave to the batch.
+    pub id: Arc<str>,
+    /// Organisation of the API key that the batch was submitted with.
+    pub organisation: Arc<str>,
+    /// The model that is being trained.
+    pub model: Arc<str>,
+    /// The training step.
+    pub step: u64,
+    /// Oldest version of the weights that may generate a token of this batch.
+    pub min_version: u64,
+    /// Submission time in Unix milliseconds, which is part of the keys of the batch's records.
+    pub submitted_unix_ms: u64,
+    /// Number of samples.
+    pub samples: u32,
+    /// Expected number of output tokens of all samples.
+    pub expected_tokens: u64,
+}
+
+/// How far a batch has come, for the instance that orders weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Milestone {
+    /// At least half of the samples have a result.
+    HalfFinished,
+    /// All samples have a result.
+    Finished,
+}
+
 /// Upper bound for the encoded size of a sample or of a scoring call in bytes, without its strings
 /// and its body.
 const SAMPLE_BYTES: usize = 64;
@@ -271,8 +329,8 @@
         /// The samples of this part.
         samples: Vec<Sample>,
     },
-    /// A batch was accepted. A starting process finds batches through these small records, without
-    /// reading the batches themselves.
+    /// Replaced by [`Record::BatchRegistered`] and no longer written. It keeps its place, because the
+    /// encoding numbers the variants.
     BatchAccepted {
         /// Id of the batch.
         batch: Arc<str>,
@@ -364,6 +422,16 @@
         /// Results of the samples with their scores.
         results: Vec<(SampleResult, Arc<str>)>,
     },
+    /// A batch was accepted: its records were stored before. If several records register the same
+    /// batch, only the first is valid.
+    BatchRegistered(BatchSummary),
+    /// A batch has reached a milestone.
+    BatchMilestone {
+        /// Id of the batch.
+        batch: Arc<str>,
+        /// The milestone.
+        milestone: Milestone,
+    },
 }
 
 impl Record {
@@ -425,9 +493,8 @@
     ///
     /// The store keeps only the newest record of each key. Records of which only the first is valid
     /// get a unique key from `writer` and `serial`, so that the store never replaces one of them.
-    /// Small records, which are all except batches, batch parts and results, sort first. Then come
-    /// batches and results by submission time, so that a starting process reads only the small
-    /// records and the batches of the last minute; see `docs/design/shared-store.md`.
+    /// Batches and results sort by submission time, so that a reader can ask for those of one batch
+    /// or of the last minute; see `docs/design/shared-store.md`.
     pub fn key(&self, writer: &str, serial: u64) -> String {
         match self {
             Self::Batch(batch) => batch_key(batch.submitted_unix_ms, &batch.id),
@@ -456,8 +523,12 @@
                 )
             }
             Self::BatchAccepted { batch, .. } => {
-                format!("{}{writer}/{serial}", accepted_key_prefix(batch))
+                format!("{}{writer}/{serial}", registered_key_prefix(batch))
             }
+            Self::BatchRegistered(summary) => {
+                format!("{}{writer}/{serial}", registered_key_prefix(&summary.id))
+            }
+            Self::BatchMilestone { batch, .. } => milestone_key(batch),
             Self::BatchEnded { batch } => ended_key(batch),
             Self::Heartbeat(heartbeat) => format!("a/m/{}", heartbeat.instance),
             Self::Claim(message)
@@ -505,15 +576,28 @@
         })
 }
 
-/// Prefix of the keys of batches. The keys of all small records sort before this prefix.
+/// Prefix of the keys of batches.
 pub const BATCH_KEY_PREFIX: &str = "b/";
 
 /// Prefix of the keys of results. The keys of batches sort before this prefix.
 pub const RESULT_KEY_PREFIX: &str = "r/";
 
-/// Returns the key prefix of the [`Record::BatchAccepted`] records of a batch.
-pub fn accepted_key_prefix(batch: &str) -> String {
-    format!("{ACCEPTED_KEY_PREFIX}{batch}/")
+/// Returns the key prefix of the [`Record::BatchRegistered`] records of a batch.
+pub fn registered_key_prefix(batch: &str) -> String {
+    format!("{REGISTERED_KEY_PREFIX}{batch}/")
+}
+
+/// Returns the key of the [`Record::BatchMilestone`] record of a batch.
+pub fn milestone_key(batch: &str) -> String {
+    format!("a/h/{batch}")
+}
+
+/// Number of partitions of the topic for batches and their results.
+pub const BATCH_PARTITIONS: u32 = 8;
+
+/// Returns the partition of the batches of a model and their results.
+pub fn batch_partition(model: &str) -> u32 {
+    u32::try_from(xxh3_64(model.as_bytes()) % u64::from(BATCH_PARTITIONS)).unwrap_or(0)
 }
 
 /// Returns the key of the [`Record::BatchEnded`] record of a batch.
@@ -529,7 +613,7 @@
     (counts, settled, format!("{REPORTED_KEY_PREFIX}{window}"))
 }
 
-const ACCEPTED_KEY_PREFIX: &str = "a/o/";
+const REGISTERED_KEY_PREFIX: &str = "a/o/";
 const REPORTED_KEY_PREFIX: &str = "a/d/";
 
 /// The state that becomes obsolete when a record is removed from the store.
@@ -548,7 +632,7 @@
             return window.parse().ok().map(Self::Window);
         }
         // The batch id is followed by the writer's name, its incarnation and the serial number.
-        let rest = key.strip_prefix(ACCEPTED_KEY_PREFIX)?;
+        let rest = key.strip_prefix(REGISTERED_KEY_PREFIX)?;
         rest.rsplitn(4, '/').nth(3).map(Self::Batch)
     }
 }
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -145,7 +145,7 @@
             .batches
             .values()
             .filter(|state| !state.ended && owned_models.contains(&state.batch.model))
-            .filter(|state| state.positions.len() < state.batch.samples.len())
+            .filter(|state| !state.is_finished())
             .collect();
         batches.sort_by_key(|state| (state.batch.submitted_unix_ms, state.batch.id.clone()));
         let mut reserved: HashMap<EndpointKey, u32> = HashMap::new();
@@ -154,7 +154,7 @@
             let order = self.order(state, ledger);
             for index in order.iter() {
                 let sample = &state.batch.samples[*index];
-                if state.positions.contains_key(&sample.id) {
+                if state.results.contains(&sample.id) {
                     continue;
                 }
                 let id = (state.batch.id.clone(), sample.id.clone());
--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -6,6 +6,7 @@
         batch,
         endpoints,
         heartbeat,
+        ledger_of,
         listing,
         result,
         results,
@@ -18,14 +19,6 @@
     }, //
 };
 
-fn ledger(records: Vec<Record>) -> Ledger {
-    let mut ledger = Ledger::default();
-    for (offset, record) in records.into_iter().enumerate() {
-        ledger.apply(offset as u64, record, 0);
-    }
-    ledger
-}
-
 fn assign(ids: &[&str]) -> Record {
     Record::ModelAssignment {
         engines: ids
@@ -48,7 +41,7 @@
 
 #[test]
 fn engines_are_filled_evenly_up_to_their_slots() {
-    let ledger = ledger(vec![assign(&["e1", "e2"]), batch("b", 1, 20, |_, _| 10)]);
+    let ledger = ledger_of(vec![assign(&["e1", "e2"]), batch("b", 1, 20, |_, _| 10)]);
     let endpoints = endpoints(&[listing("e1", "saiq", 1), listing("e2", "shams", 1)]);
     let mut sampler = Sampler::default();
     let started = starts(&mut sampler, &ledger, &endpoints, 0);
@@ -62,7 +55,7 @@
 
 #[test]
 fn engine_with_old_weights_gets_no_sample() {
-    let ledger = ledger(vec![assign(&["e1", "e2"]), batch("b", 3, 20, |_, _| 10)]);
+    let ledger = ledger_of(vec![assign(&["e1", "e2"]), batch("b", 3, 20, |_, _| 10)]);
     let endpoints = endpoints(&[listing("e1", "saiq", 1), listing("e2", "shams", 2)]);
     let started = starts(&mut Sampler::default(), &ledger, &endpoints, 0);
     let up_to_date = endpoints.find("e2").unwrap();
@@ -85,7 +78,7 @@
             }
         }
     }
-    let ledger = ledger(vec![earlier_batch, returned_batch]);
+    let ledger = ledger_of(vec![earlier_batch, returned_batch]);
     let state = &ledger.batches["b2"];
     let order = start_order(state, &ledger);
     let groups: Vec<&str> = order
@@ -100,7 +93,7 @@
 
 #[test]
 fn retry_delay_grows_with_each_attempt_without_event() {
-    let ledger = ledger(vec![assign(&["e1"]), batch("b", 1, 1, |_, _| 10)]);
+    let ledger = ledger_of(vec![assign(&["e1"]), batch("b", 1, 1, |_, _| 10)]);
     let endpoints = endpoints(&[listing("e1", "saiq", 1)]);
     let mut sampler = Sampler::default();
     let mut now_ms = 0;
@@ -130,21 +123,21 @@
         result("b", "s0.0", "text"),
         result("b", "s0.1", "text"),
     ]);
-    let finished = ledger(vec![
+    let finished = ledger_of(vec![
         assign(&["e1"]),
         batch("b", 1, 1, |_, _| 10),
         all_results,
     ]);
     assert!(starts(&mut Sampler::default(), &finished, &endpoints, 0).is_empty());
     let ended = Record::BatchEnded { batch: "b".into() };
-    let ended_batch = ledger(vec![
+    let ended_batch = ledger_of(vec![
         assign(&["e1"]),
         batch("b", 1, 1, |_, _| 10),
         ended,
         heartbeat("n1", 1),
     ]);
     assert!(starts(&mut Sampler::default(), &ended_batch, &endpoints, 0).is_empty());
-    let open_batch = ledger(vec![assign(&["e1"]), batch("b", 1, 1, |_, _| 10)]);
+    let open_batch = ledger_of(vec![assign(&["e1"]), batch("b", 1, 1, |_, _| 10)]);
     let service = |_: &BatchState, _: &Sample| Some(Arc::from("drafting"));
     let started =
         Sampler::default().next_starts(&open_batch, &endpoints, &HashSet::new(), &service, 0);
@@ -155,7 +148,7 @@
 /// immediately after a refusal.
 #[test]
 fn engine_that_refused_gets_no_sample() {
-    let ledger = ledger(vec![assign(&["e1", "e2"]), batch("b", 1, 20, |_, _| 10)]);
+    let ledger = ledger_of(vec![assign(&["e1", "e2"]), batch("b", 1, 20, |_, _| 10)]);
     let mut endpoints = endpoints(&[listing("e1", "saiq", 1), listing("e2", "shams", 1)]);
     let refusing = endpoints.find("e1").unwrap();
     endpoints.refused(refusing, 0);
@@ -167,7 +160,7 @@
 /// groups of these samples.
 #[test]
 fn slow_engine_gets_fewer_samples() {
-    let ledger = ledger(vec![
+    let ledger = ledger_of(vec![
         assign(&["e1", "e2", "e3"]),
         batch("b", 1, 4, |_, _| 10),
     ]);
@@ -192,7 +185,7 @@
 /// engine.
 #[test]
 fn moved_sample_starts_on_another_engine() {
-    let ledger = ledger(vec![assign(&["e1", "e2"]), batch("b", 1, 1, |_, _| 10)]);
+    let ledger = ledger_of(vec![assign(&["e1", "e2"]), batch("b", 1, 1, |_, _| 10)]);
     let mut endpoints = endpoints(&["e1", "e2"].map(|id| listing(id, "saiq", 1)));
     let [first, second] = ["e1", "e2"].map(|id| endpoints.find(id).unwrap());
     let mut sampler = Sampler::default();
@@ -221,7 +214,7 @@
 
 #[test]
 fn slow_engine_is_not_better() {
-    let ledger = ledger(vec![
+    let ledger = ledger_of(vec![
         assign(&["e1", "e2", "e3"]),
         batch("b", 1, 1, |_, _| 10),
     ]);
@@ -250,7 +243,7 @@
     let mut mixed = Batch::clone(&unscored);
     mixed.wanted_groups = 4;
     mixed.samples[2].scoring = Some(scoring_call("s1.0"));
-    let ledger = ledger(mixed.into_records(1 << 16));
+    let ledger = ledger_of(mixed.into_records(1 << 16));
     let order = start_order(&ledger.batches["b"], &ledger);
     assert_eq!(order[0], 2);
 }
--- a/flamingoscale/src/fleet/scoring.rs
+++ b/flamingoscale/src/fleet/scoring.rs
@@ -255,7 +255,7 @@
                 let samples = state.batch.samples.iter();
                 samples
                     .filter(|sample| sample.group == group)
-                    .filter(|sample| !state.positions.contains_key(&sample.id))
+                    .filter(|sample| !state.results.contains(&sample.id))
                     .count()
             });
         (submitted_unix_ms, *missing)
--- a/flamingoscale/src/fleet/texts/tests.rs
+++ b/flamingoscale/src/fleet/texts/tests.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::fleet::{
     fixtures::{
+        apply,
         batch,
         result,
         results, //
@@ -73,7 +74,7 @@
 #[test]
 fn complete_text_replaces_an_unfinished_one_of_the_same_length() {
     let mut ledger = Ledger::default();
-    ledger.apply(0, batch("b", 1, 2, |_, _| 10), 0);
+    apply(&mut ledger, 0, batch("b", 1, 2, |_, _| 10), 0);
     let complete = PartialText {
         complete: true,
         ..partial("s0.0", 4)
@@ -95,8 +96,13 @@
 #[test]
 fn longest_text_of_an_unfinished_sample_is_kept() {
     let mut ledger = Ledger::default();
-    ledger.apply(0, batch("b", 1, 2, |_, _| 10), 0);
-    ledger.apply(1, results(vec![result("b", "s0.1", "whole")]), 0);
+    apply(&mut ledger, 0, batch("b", 1, 2, |_, _| 10), 0);
+    apply(
+        &mut ledger,
+        1,
+        results(vec![result("b", "s0.1", "whole")]),
+        0,
+    );
     let mut partials = HashMap::from([(("b".into(), "s1.0".into()), partial("s1.0", 5))]);
     let stored = [
         partial("s0.0", 3),
@@ -113,7 +119,7 @@
         (events("s0.0"), events("s1.0"), events("s0.1")),
         (Some(3), Some(5), None)
     );
-    ledger.apply(2, Record::BatchEnded { batch: "b".into() }, 0);
+    apply(&mut ledger, 2, Record::BatchEnded { batch: "b".into() }, 0);
     let mut partials = HashMap::new();
     merge_unfinished(&mut partials, [partial("s0.0", 3)], &ledger);
     assert!(partials.is_empty());
--- a/flamingoscale/src/fleet/usage.rs
+++ b/flamingoscale/src/fleet/usage.rs
@@ -8,7 +8,12 @@
     sync::Arc, //
 };
 
-use super::ledger::Ledger;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    ledger::Ledger,
+    record::Record, //
+};
 
 /// Delay from the end of a window until its counts are settled, that is, fixed by a record in the
 /// shared store. The delay must exceed the sum of two times: the duration of a lookup, which is a
@@ -20,6 +25,14 @@
 /// Windows that ended longer ago than this are neither settled nor reported.
 const MAX_WINDOW_AGE_MS: u64 = 60_000;
 
+/// Number of partitions of the topic for counts, so that many instances can write at once.
+pub const PARTITIONS: u32 = 4;
+
+/// Returns the partition of an instance's counts.
+pub fn partition(instance: &str) -> u32 {
+    u32::try_from(xxh3_64(instance.as_bytes()) % u64::from(PARTITIONS)).unwrap_or(0)
+}
+
 /// Requests by organisation.
 pub type Counts = Vec<(Arc<str>, u64)>;
 
@@ -54,20 +67,25 @@
     }
 }
 
-/// An action of the lease holder for one usage window. Both variants hold the number of the window
-/// and its counts.
+/// An action of the lease holder for one usage window.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WindowAction {
-    /// Append a [`WindowSettled`](super::record::Record::WindowSettled) record with these counts.
-    Settle(u64, Vec<(Arc<str>, u64)>),
-    /// Send the settled counts to the platform.
-    Report(u64, Vec<(Arc<str>, u64)>),
+    /// Read the counts of the window with this number and append a
+    /// [`WindowSettled`](super::record::Record::WindowSettled) record with their total.
+    Settle(u64),
+    /// Send the settled counts of the window with this number to the platform.
+    Report(u64, Counts),
 }
 
 /// Returns the actions that are due. Only settled counts are reported, so a repeated report of a
-/// window has the same counts as the first. Windows without requests are settled and reported too.
+/// window has the same counts as the first. Windows without requests are settled and reported too,
+/// from the start of the oldest process on.
 pub fn due_actions(ledger: &Ledger, window_ms: u64, now_unix_ms: u64) -> Vec<WindowAction> {
-    let Some(first) = ledger.windows.keys().next().copied() else {
+    let members = ledger.members.values();
+    let oldest_start = members.map(|member| member.heartbeat.incarnation).min();
+    let first_started = oldest_start.map(|unix_ms| unix_ms / window_ms);
+    let first_known = ledger.windows.keys().next().copied();
+    let Some(first) = first_started.into_iter().chain(first_known).min() else {
         return Vec::new();
     };
     let last = now_unix_ms.saturating_sub(SETTLE_DELAY_MS) / window_ms;
@@ -77,19 +95,32 @@
             Some(state) if state.reported => None,
             Some(state) => Some(match &state.settled {
                 Some(counts) => WindowAction::Report(window, counts.clone()),
-                None => WindowAction::Settle(window, total(state.counts_by_instance.values())),
+                None => WindowAction::Settle(window),
             }),
-            None => Some(WindowAction::Settle(window, Vec::new())),
+            None => Some(WindowAction::Settle(window)),
         })
         .collect()
 }
 
-fn total<'a>(
-    counts_by_instance: impl Iterator<Item = &'a Vec<(Arc<str>, u64)>>,
-) -> Vec<(Arc<str>, u64)> {
+/// Returns the total of the counts that instances recorded for a window. `records` holds the newest
+/// record of each instance and incarnation.
+pub fn total_counts(window: u64, records: impl IntoIterator<Item = Record>) -> Counts {
     let mut totals: HashMap<Arc<str>, u64> = HashMap::new();
-    for (organisation, count) in counts_by_instance.flatten() {
-        *totals.entry(organisation.clone()).or_default() += count;
+    for record in records {
+        let Record::UsageCounts {
+            window: counted,
+            counts,
+            ..
+        } = record
+        else {
+            continue;
+        };
+        if counted != window {
+            continue;
+        }
+        for (organisation, count) in counts {
+            *totals.entry(organisation).or_default() += count;
+        }
     }
     sorted(totals)
 }
