Engines load first for the model with the fewest ready ones

Orders went by the lowest version number, so four engines of one model loaded at 46.1 to 47.1 s while the batch of another, there since 44.05 s, got its first engine at 48.3 s and its first sample at 49.5 s. Orders to crashed engines held one of the two places for 3 s each. Ruled out: slots (engines of the waiting model were idle), the lease (held since 42.7 s). Change: among needed loads the model with the fewest engines that are ready or loading goes first; an order that can't be delivered frees its place at once, and its engine is tried after its backoff.

--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -52,6 +52,8 @@
     /// End of the pause after a refused request, in monotonic milliseconds. Until then the endpoint
     /// gets no sample.
     pub refused_until_ms: u64,
+    /// Whether the last order could not be delivered.
+    pub unreachable: bool,
     /// Moving average of the response time in milliseconds; 0 if none was observed.
     pub response_ms: f64,
     /// Moving average of the time between two events of a stream in milliseconds; 0 if none was
@@ -135,6 +137,7 @@
             failures: 0,
             backoff_until_ms: 0,
             refused_until_ms: 0,
+            unreachable: false,
             response_ms: 0.0,
             event_ms: 0.0,
         });
@@ -228,6 +231,20 @@
         endpoint.backoff_until_ms = now_ms + backoff_ms.min(MAX_BACKOFF_MS);
     }
 
+    /// Records that an order could not be delivered to the endpoint. It gets neither orders nor samples
+    /// before the end of the backoff.
+    pub fn order_failed(&mut self, key: EndpointKey, now_ms: u64) {
+        self.failed(key, now_ms);
+        let endpoint = &mut self.arena[key.0 as usize];
+        endpoint.unreachable = true;
+        endpoint.refused_until_ms = endpoint.backoff_until_ms;
+    }
+
+    /// Records that the endpoint can be given orders.
+    pub fn order_possible(&mut self, key: EndpointKey) {
+        self.arena[key.0 as usize].unreachable = false;
+    }
+
     /// Records that the endpoint refused a request without running it.
     pub fn refused(&mut self, key: EndpointKey, now_ms: u64) {
         self.arena[key.0 as usize].refused_until_ms = now_ms + REFUSAL_PAUSE_MS;
--- a/flamingoscale/src/fleet/loads.rs
+++ b/flamingoscale/src/fleet/loads.rs
@@ -87,7 +87,9 @@
 
 impl LoadScheduler {
     /// Returns the orders to send now to the engines of a service, and marks them as pending.
-    /// Orders that an open batch requires come first.
+    ///
+    /// Orders that an open batch requires come first, among them those of the model with the fewest
+    /// engines that can run its samples: a batch without such an engine waits as a whole.
     pub fn due_orders(
         &mut self,
         ledger: &Ledger,
@@ -111,6 +113,7 @@
         let mut candidates: Vec<(bool, LoadOrder)> = engines
             .iter()
             .filter(|(_, endpoint)| endpoint.accepts_work())
+            .filter(|(_, endpoint)| endpoint.refused_until_ms <= now_ms)
             .filter_map(|(key, endpoint)| {
                 let model = ledger.assignments.get(&endpoint.listing.id)?;
                 let version = *latest_versions.get(model)?;
@@ -126,24 +129,34 @@
             })
             .filter(|(_, order)| !self.pending.keys().any(|(key, _)| *key == order.endpoint))
             .collect();
-        candidates.sort_by_key(|(needed, order)| {
-            let endpoint = endpoints.get(order.endpoint);
-            (
-                !needed,
-                endpoint.version(&order.model),
-                endpoint.in_flight,
-                order.endpoint,
-            )
-        });
-        candidates.retain(|(needed, order)| {
-            let remaining = early_counts.entry(order.model.clone()).or_default();
-            let is_due = *needed || *remaining > 0;
-            *remaining = remaining.saturating_sub(usize::from(!needed));
-            is_due
-        });
-        let mut due_orders: Vec<LoadOrder> =
-            candidates.into_iter().map(|(_, order)| order).collect();
-        due_orders.truncate(max_loading.saturating_sub(self.pending.len()));
+        let free = max_loading.saturating_sub(self.pending.len());
+        let mut ready = self.ready_engines(ledger, &engines, &required);
+        let mut due_orders: Vec<LoadOrder> = Vec::new();
+        while due_orders.len() < free {
+            candidates.retain(|(needed, order)| {
+                *needed || early_counts.get(&order.model).copied().unwrap_or(0) > 0
+            });
+            let next = candidates.iter().min_by_key(|(needed, order)| {
+                let endpoint = endpoints.get(order.endpoint);
+                (
+                    !needed,
+                    ready.get(&order.model).copied().unwrap_or(0),
+                    endpoint.version(&order.model),
+                    endpoint.in_flight,
+                    order.endpoint,
+                )
+            });
+            let Some((needed, order)) = next.cloned() else {
+                break;
+            };
+            candidates.retain(|(_, other)| other.endpoint != order.endpoint);
+            *ready.entry(order.model.clone()).or_default() += 1;
+            if !needed {
+                let early = early_counts.entry(order.model.clone()).or_default();
+                *early = early.saturating_sub(1);
+            }
+            due_orders.push(order);
+        }
         for order in &due_orders {
             self.pending.insert(
                 (order.endpoint, order.model.clone()),
@@ -153,6 +166,28 @@
         due_orders
     }
 
+    /// Returns, for each model, how many of its engines can run the open batches' samples, now or
+    /// when their pending loads are done.
+    fn ready_engines(
+        &self,
+        ledger: &Ledger,
+        engines: &[(EndpointKey, &Endpoint)],
+        required: &HashMap<Arc<str>, u64>,
+    ) -> HashMap<Arc<str>, usize> {
+        let mut ready: HashMap<Arc<str>, usize> = HashMap::new();
+        for (key, endpoint) in engines {
+            let Some(model) = ledger.assignments.get(&endpoint.listing.id) else {
+                continue;
+            };
+            let is_ready = endpoint.version(model) >= required.get(model).copied()
+                || self.pending.contains_key(&(*key, model.clone()));
+            if is_ready && endpoint.accepts_work() && !endpoint.unreachable {
+                *ready.entry(model.clone()).or_default() += 1;
+            }
+        }
+        ready
+    }
+
     /// Returns how many engines of each model should load before a batch requires the new version.
     ///
     /// A training step also allows the version before its own, so each version is valid for two
--- a/flamingoscale/src/fleet/loads/tests.rs
+++ b/flamingoscale/src/fleet/loads/tests.rs
@@ -10,7 +10,10 @@
         result,
         results, //
     },
-    record::Record, //
+    record::{
+        Batch,
+        Record, //
+    }, //
 };
 
 fn latest_versions(version: u64) -> HashMap<Arc<str>, u64> {
@@ -159,3 +162,89 @@
     let assignments = assign_engines(&engines, &models, &demand, &HashMap::new());
     assert!(models.iter().all(|model| served(&assignments, model) == 1));
 }
+
+/// Returns the engines of a model that are ready for its batch after each round of loading, where
+/// each round lasts as long as a load.
+fn ready_after_rounds(rounds: usize) -> HashMap<Arc<str>, usize> {
+    let ids: Vec<String> = (0..8).map(|number| format!("e{number}")).collect();
+    // The engines of "notes" have older weights than those of "alerts".
+    let versions = |number: usize| if number < 4 { 1 } else { 3 };
+    let listings: Vec<_> = (0..)
+        .zip(&ids)
+        .map(|(number, id)| listing(id, "saiq", versions(number)))
+        .map(|mut listing| {
+            let version = listing.versions["notes"];
+            listing.versions.insert("alerts".into(), version);
+            listing
+        })
+        .collect();
+    let mut endpoints = endpoints(&listings);
+    let mut ledger = Ledger::default();
+    let model = |number: usize| if number < 4 { "notes" } else { "alerts" };
+    let engines = (0..)
+        .zip(&ids)
+        .map(|(number, id)| (id.as_str().into(), model(number).into()))
+        .collect();
+    ledger.apply(0, Record::ModelAssignment { engines }, 0);
+    for (offset, model, step) in [(1, "notes", 3), (2, "alerts", 5)] {
+        let Record::Batch(submitted) = batch(model, step, 2, |_, _| 10) else {
+            panic!("the fixture returns a batch");
+        };
+        let mut submitted = Batch::clone(&submitted);
+        submitted.model = model.into();
+        submitted.min_version = step;
+        apply(&mut ledger, offset, Record::Batch(submitted.into()), 0);
+    }
+    let latest = HashMap::from([("notes".into(), 3), ("alerts".into(), 5)]);
+    let mut loads = LoadScheduler::default();
+    for round in 0..rounds as u64 {
+        let mode = LoadMode::Retain;
+        let now_ms = round * 1_200;
+        let due = loads.due_orders(&ledger, &endpoints, "drafting", &latest, mode, now_ms);
+        assert!(due.len() <= 2, "at most two engines load at a time");
+        for order in due {
+            endpoints.observe_version(order.endpoint, &order.model, order.version);
+        }
+    }
+    let mut ready = HashMap::new();
+    for (_, endpoint) in endpoints.of_service("drafting") {
+        let model = &ledger.assignments[&endpoint.listing.id];
+        let is_ready = endpoint.version(model) >= latest.get(model).copied();
+        *ready.entry(model.clone()).or_default() += usize::from(is_ready);
+    }
+    ready
+}
+
+/// Load: after an outage of the store the trainers of several models submit at the same moment, and
+/// only two engines may load at a time. Regression test: all engines of the model with the lower
+/// version number loaded first, and the batch of the other model waited for up to 5 s for its first
+/// engine.
+#[test]
+fn no_batch_waits_for_all_engines_of_another_model() {
+    for rounds in 1..=4 {
+        let ready = ready_after_rounds(rounds);
+        assert_eq!(ready["notes"], rounds, "after {rounds} rounds: {ready:?}");
+        assert_eq!(ready["alerts"], rounds, "after {rounds} rounds: {ready:?}");
+    }
+}
+
+/// An engine that can't be reached must not occupy one of the few places for loading engines.
+#[test]
+fn unreachable_engine_is_ordered_only_after_its_backoff() {
+    let (mut ledger, mut endpoints) = assigned_engines(2);
+    let mut loads = LoadScheduler::default();
+    apply(&mut ledger, 1, Record::BatchEnded { batch: "b".into() }, 0);
+    let key = endpoints.find("e0").unwrap();
+    endpoints.order_failed(key, 0);
+    let ordered = loads.due_orders(
+        &ledger,
+        &endpoints,
+        "drafting",
+        &latest_versions(2),
+        LoadMode::Retain,
+        0,
+    );
+    let ordered: Vec<EndpointKey> = ordered.iter().map(|order| order.endpoint).collect();
+    assert_eq!(ordered, [endpoints.find("e1").unwrap()]);
+    assert_eq!(due(&mut loads, &ledger, &endpoints, 2_000), 1);
+}
