A holder that comes back after a restart orders loads at once

It waited for its turn (3.5 s from its start) because another instance had held the lease 26 s before. Batches that needed new weights waited meanwhile. Ruled out: the claim itself (0.7 s after the kill), reading the store (0.03 s). Change: a holder records once that its turn has passed (turn time after the former holder stopped at the latest). A later incarnation that claims the lease directly after it, with no other epoch between, need not wait. Tried: a planted fault that records the turn too early. Random histories don't find it, because a started instance claims no foreign lease for the turn time either; two unit tests hold the rule instead.

--- a/flamingoscale/src/fleet/histories.rs
+++ b/flamingoscale/src/fleet/histories.rs
@@ -476,7 +476,7 @@
             &candidate,
             (fresh, now_ms),
         );
-        let lease = LEASE.into();
+        let lease: Arc<str> = LEASE.into();
         let message = |epoch| candidate.message(&lease, epoch, now_ms);
         match action {
             LeaseAction::Idle => (),
@@ -485,6 +485,9 @@
                 self.write(index, Record::Renewal { message, term });
             }
             LeaseAction::Claim { epoch } => self.write(index, Record::Claim(message(epoch))),
+            LeaseAction::RecordTurn { term } => {
+                self.write(index, Record::TurnPassed { lease, term })
+            }
         }
     }
 
--- a/flamingoscale/src/fleet/leases.rs
+++ b/flamingoscale/src/fleet/leases.rs
@@ -211,6 +211,11 @@
         /// Epoch of the claim.
         epoch: u64,
     },
+    /// Append [`Record::TurnPassed`](super::record::Record::TurnPassed).
+    RecordTurn {
+        /// Fencing number of the lease.
+        term: u64,
+    },
 }
 
 /// Permission to send one request under a lease.
@@ -232,6 +237,10 @@
 pub struct LocalLease {
     /// The term that was held at the last call of [`LocalLease::next_action`].
     held_term: Option<u64>,
+    /// When `held_term` was first held, in monotonic milliseconds.
+    held_since_ms: u64,
+    /// When a record of a passed turn was last sent, in monotonic milliseconds.
+    turn_sent_ms: Option<u64>,
     /// The term under which this process has stopped acting.
     released_term: Option<u64>,
     /// When the last renewal was sent, in monotonic milliseconds.
@@ -257,13 +266,22 @@
         (fresh, now_ms): (bool, u64),
     ) -> LeaseAction {
         let state = self.own_lease(ledger, lease, candidate);
-        self.held_term = state.map(|state| state.term);
+        let held_term = state.map(|state| state.term);
+        if self.held_term != held_term {
+            self.held_term = held_term;
+            self.held_since_ms = now_ms;
+        }
         let is_recent = |sent_ms: u64| now_ms.saturating_sub(sent_ms) < timing.renew_interval_ms;
         if let Some(state) = state {
             let recently_sent = is_recent(state.last_message.sent_ms)
                 || self.renewal_sent_ms.is_some_and(is_recent);
             if recently_sent {
-                return LeaseAction::Idle;
+                let turn_due = self.turn_record_due(ledger, state, timing, now_ms);
+                if !turn_due || self.turn_sent_ms.is_some_and(is_recent) {
+                    return LeaseAction::Idle;
+                }
+                self.turn_sent_ms = Some(now_ms);
+                return LeaseAction::RecordTurn { term: state.term };
             }
             self.renewal_sent_ms = Some(now_ms);
             return LeaseAction::Renew {
@@ -290,6 +308,22 @@
         })
     }
 
+    /// Returns whether the store should learn that the turn of the holder has passed: the last other
+    /// holder had stopped when this one began, or stopped within the duration of a lease, and the
+    /// turn time has passed since.
+    fn turn_record_due(
+        &self,
+        ledger: &Ledger,
+        state: &LeaseState,
+        timing: LeaseTiming,
+        now_ms: u64,
+    ) -> bool {
+        let turn_end_ms = self.held_since_ms + timing.lease_ms + timing.guard_ms + timing.turn_ms;
+        timing.turn_ms > 0
+            && !ledger.is_turn_recorded(state)
+            && (state.turn_passed || now_ms >= turn_end_ms)
+    }
+
     /// Records that the store definitely did not append the last claim, so that the claim may be
     /// repeated.
     pub fn claim_refused(&mut self) {
@@ -348,7 +382,7 @@
         let term = self.active_term(ledger, lease, timing, candidate, now_ms)?;
         let state = ledger.leases.get(lease)?;
         let expires_ms = state.last_message.sent_ms + timing.lease_ms;
-        let other_held = state.previous_holder.is_some();
+        let other_held = state.previous_holder.is_some() && !state.turn_passed;
         // Before its first act, the previous incarnation may have acted until the process started.
         let (last_term, last_act_ms) = self.last_act.unwrap_or((0, candidate.started_ms));
         let waits_for_turn =
--- a/flamingoscale/src/fleet/leases/tests.rs
+++ b/flamingoscale/src/fleet/leases/tests.rs
@@ -387,3 +387,66 @@
         None
     );
 }
+
+/// Returns whether an instance that restarts may act at once, if it took the lease over from another
+/// instance and recorded that its turn has passed with `recorded_term`.
+fn acts_at_once_after_restart(recorded_term: Option<u64>) -> bool {
+    let mut ledger = ledger(&["n1", "n2"], 100_000);
+    hold_lease(&mut ledger, "n2", 100_000);
+    let claim = |epoch| Record::Claim(lease_message(LEASE, "n1", epoch, 110_000));
+    ledger.apply(20, claim(2), 110_000);
+    let turn_passed = |term| Record::TurnPassed {
+        lease: LEASE.into(),
+        term,
+    };
+    ledger.apply(21, heartbeat("n1", 2), 120_000);
+    if let Some(term) = recorded_term {
+        ledger.apply(22, turn_passed(term), 120_000);
+    }
+    let mut message = lease_message(LEASE, "n1", 3, 120_000);
+    message.incarnation = 2;
+    ledger.apply(23, Record::Claim(message), 120_000);
+    let restarted = Candidate {
+        incarnation: 2,
+        started_ms: 119_500,
+        ..candidate("n1")
+    };
+    let mut local_lease = LocalLease::default();
+    let authority = local_lease.authorize(&ledger, LEASE, TIMING, &restarted, 120_100);
+    authority.is_some()
+}
+
+/// Load: all instances are killed at once while trainers wait for new weights. Regression test: the
+/// holder of the lease came back after half a second and then ordered no loads for three seconds,
+/// because another instance had held the lease at some time before.
+#[test]
+fn restarted_holder_whose_turn_has_passed_acts_at_once() {
+    assert!(acts_at_once_after_restart(Some(21)));
+    assert!(!acts_at_once_after_restart(None));
+    // The record of an earlier term says nothing about the holder before this one.
+    assert!(!acts_at_once_after_restart(Some(11)));
+}
+
+#[test]
+fn turn_is_recorded_only_after_the_turn_time() {
+    let mut ledger = ledger(&["n1", "n2"], 100_000);
+    hold_lease(&mut ledger, "n2", 100_000);
+    let holder = candidate("n1");
+    let mut local_lease = LocalLease::default();
+    let recorded = (1_100..2_000).find_map(|tick| {
+        let now_ms = tick * 100;
+        let message = lease_message(LEASE, "n1", 2, now_ms);
+        let record = match tick {
+            1_100 => Record::Claim(message),
+            _ => Record::Renewal { message, term: 21 },
+        };
+        ledger.apply(20, record, now_ms);
+        let fresh = (true, now_ms);
+        match local_lease.next_action(&ledger, LEASE, TIMING, &holder, fresh) {
+            LeaseAction::RecordTurn { term } => Some((now_ms, term)),
+            _ => None,
+        }
+    });
+    let turn_end_ms = 110_000 + TIMING.lease_ms + TIMING.guard_ms + TIMING.turn_ms;
+    assert_eq!(recorded, Some((turn_end_ms, 21)));
+}
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -58,6 +58,9 @@
     /// The instance that last held the lease before the holder, even if the holder has claimed it
     /// several times since; `None` if no other instance did.
     pub previous_holder: Option<Arc<str>>,
+    /// Whether no other instance has acted under the lease within the turn time, see
+    /// [`Record::TurnPassed`].
+    pub turn_passed: bool,
     /// Whether the holder has released the lease.
     pub released: bool,
 }
@@ -107,6 +110,8 @@
     pub last_results: HashMap<Arc<str>, Rc<SampleResult>>,
     /// The most recent claims, by lease.
     claims: HashMap<Arc<str>, LastClaims>,
+    /// The greatest term of each lease for which a [`Record::TurnPassed`] was read.
+    turns_passed: HashMap<Arc<str>, u64>,
     /// Records of followed batches that can't be applied yet.
     pending: PendingRecords,
     /// Ids of all ended batches, including those that are not registered.
@@ -176,6 +181,13 @@
                 *self.suspects.entry(fingerprint).or_default() += 1;
             }
             Record::ModelAssignment { engines } => self.assignments = engines.into_iter().collect(),
+            Record::TurnPassed { lease, term } => {
+                if let Some(state) = self.leases.get_mut(&lease) {
+                    state.turn_passed |= state.term == term;
+                }
+                let newest = self.turns_passed.entry(lease).or_default();
+                *newest = term.max(*newest);
+            }
         }
     }
 
@@ -342,6 +354,11 @@
                 false => Some(holder.clone()),
             }
         });
+        // No other instance can have claimed the lease between two claims of one holder that follow
+        // each other: its claim would have the greater epoch, or the lower term.
+        let turn_passed = current.is_some_and(|current| {
+            current.turn_passed && current.last_message.holder == message.holder
+        }) || self.turns_passed.get(&message.lease) == Some(&term);
         let released =
             released || current.is_some_and(|current| current.released && current.term == term);
         let state = LeaseState {
@@ -350,11 +367,17 @@
             seen_ms: now_ms,
             previous_holder_seen_ms,
             previous_holder,
+            turn_passed,
             released,
         };
         self.leases.insert(message.lease, state);
     }
 
+    /// Returns whether a [`Record::TurnPassed`] was read for the current term of a lease.
+    pub fn is_turn_recorded(&self, state: &LeaseState) -> bool {
+        self.turns_passed.get(&state.last_message.lease) == Some(&state.term)
+    }
+
     /// Returns when an incarnation of an instance sent the most recent claim that was read from it,
     /// in milliseconds of the monotonic clock of that instance.
     pub fn last_claim_sent_ms(&self, lease: &str, holder: &str, incarnation: u64) -> Option<u64> {
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -272,9 +272,7 @@
     pub text: Arc<str>,
     /// Versions of the weights that generated a part of the text.
     pub versions: Vec<u64>,
-    /// Whether the text is complete and waits for its score only. Such texts are stored under a key
-    /// of their own; see [`super::texts::unscored_key`].
-    #[serde(skip)]
+    /// Whether the text is complete and waits for its score only.
     pub complete: bool,
 }
 
@@ -432,6 +430,14 @@
         /// The milestone.
         milestone: Milestone,
     },
+    /// The holder of a lease no longer waits for its turn: no other instance has acted under the
+    /// lease within the turn time. A later incarnation that continues the lease need not wait either.
+    TurnPassed {
+        /// Name of the lease.
+        lease: Arc<str>,
+        /// Term of the lease.
+        term: u64,
+    },
 }
 
 impl Record {
@@ -548,6 +554,7 @@
             Self::WindowReported { window } => window_keys(*window).2,
             Self::Suspect { .. } => format!("a/q/{writer}/{serial}"),
             Self::ModelAssignment { .. } => "a/p".to_owned(),
+            Self::TurnPassed { lease, .. } => format!("a/t/{lease}"),
         }
     }
 }
