Checkpoints store each event of an unfinished text once, four times a second

A checkpoint was one record a model and second with its longest texts, so texts of under about 60 events started again from nothing, the others up to a second back. Ruled out: the leases (0.2 s), reading the texts (0.1 s), engines without a slot. Change: fleet/checkpoints.rs plans records that hold what was added to each text since the one before; they are written every 250 ms and removed when all their samples are finished. The next holder joins them, stores the texts under its own name and removes the records it read. Bytes stay those of the texts, whatever the rate. New topic keyed.checkpoints; texts that an earlier release left are not read.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -7,6 +7,7 @@
 
 pub mod attempts;
 pub mod cells;
+pub mod checkpoints;
 pub mod choice;
 pub mod configuration;
 pub mod endpoints;
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -259,8 +259,9 @@
     pub score: Option<Arc<str>>,
 }
 
-/// Text of a sample that is still being generated, from which another instance can resume.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Text of a sample that is still being generated. Another instance can resume it from its
+/// [checkpoints](super::checkpoints).
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PartialText {
     /// Id of the batch.
     pub batch: Arc<str>,
--- a/flamingoscale/src/fleet/texts.rs
+++ b/flamingoscale/src/fleet/texts.rs
@@ -69,28 +69,20 @@
     u32::try_from(hash % u64::from(PARTITIONS)).unwrap_or(0)
 }
 
-/// Returns the key under which an instance stores the texts of a model's unfinished samples.
-pub fn unfinished_key(model: &str, instance: &str) -> String {
-    format!("{}{instance}", unfinished_key_prefix(model))
+/// Returns the key of a record of a model's unfinished texts. The records of one writer sort by their
+/// serial numbers.
+pub fn checkpoint_key(model: &str, writer: &str, serial: u64) -> String {
+    format!("{}{writer}.{serial:08}", checkpoint_key_prefix(model))
 }
 
-/// Returns the key under which an instance stores the complete texts of a model's samples that wait
-/// for their score. The key has the prefix of the unfinished texts.
-pub fn unscored_key(model: &str, instance: &str) -> String {
-    format!("{}{UNSCORED_SUFFIX}", unfinished_key(model, instance))
-}
-
-/// Returns whether a key is one from [`unscored_key`].
-pub fn is_unscored_key(key: &str) -> bool {
-    key.ends_with(UNSCORED_SUFFIX)
+/// Returns the key prefix of a model's unfinished texts.
+pub fn checkpoint_key_prefix(model: &str) -> String {
+    format!("{model}/")
 }
 
-/// End of the keys from [`unscored_key`]. Names of instances have no slash.
-const UNSCORED_SUFFIX: &str = "/unscored";
-
-/// Returns the key prefix of the texts of a model's unfinished samples.
-pub fn unfinished_key_prefix(model: &str) -> String {
-    format!("{model}/")
+/// Returns the part of a key from [`checkpoint_key`] that all records of one writer share.
+pub fn checkpoint_writer(key: &str) -> &str {
+    key.rsplit_once('.').map_or(key, |(writer, _)| writer)
 }
 
 /// A range of keys with both bounds excluded.
--- a/flamingoscale/src/fleet/texts/tests.rs
+++ b/flamingoscale/src/fleet/texts/tests.rs
@@ -88,8 +88,6 @@
         let kept: Vec<PartialText> = partials.into_values().collect();
         assert_eq!(kept, std::slice::from_ref(&complete));
     }
-    assert!(is_unscored_key(&unscored_key("notes", "n1")));
-    assert!(!is_unscored_key(&unfinished_key("notes", "n1")));
 }
 
 /// Two instances may have stored texts of the same sample, and the shorter text may be read last.
