An endpoint that says it leaves gets no further request

The tree knew only the list. Change: the head of each response (lookups, streams of engines, scoring calls, reports, orders) is read for it. The notice belongs to one start of an endpoint: a listing of the same start, also at another address, does not void it, the next start has none. A malformed value is logged once an endpoint. Others are not told: they learn it from their own answers or the list. Ruled out: putting the notice into the listing, which a later listing of the same start replaces at another address.

--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -39,6 +39,8 @@
     pub listing: Listing,
     /// Whether the platform no longer lists the endpoint.
     pub delisted: bool,
+    /// What the endpoint said in its answers about leaving.
+    pub notice: LeavingNotice,
     /// Requests of this instance in flight at the endpoint.
     pub in_flight: u32,
     /// Requests that the endpoint reported as running or waiting, excluding those of this instance.
@@ -61,6 +63,19 @@
     pub event_ms: f64,
 }
 
+/// What an endpoint said about itself in its answers. This holds for one incarnation of the endpoint:
+/// an endpoint that leaves does not come back before it has restarted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LeavingNotice {
+    /// Nothing.
+    #[default]
+    None,
+    /// Something that can't be understood; it is ignored.
+    Malformed,
+    /// The endpoint leaves. It gets no new work, whatever the list says.
+    Leaving,
+}
+
 /// Backoff after the first failure; doubles with each further failure. A crashed server is
 /// available again after a few seconds.
 const BASE_BACKOFF_MS: u64 = 500;
@@ -79,9 +94,10 @@
 const MAX_REPORT_AGE_MS: u64 = 500;
 
 impl Endpoint {
-    /// Returns whether the endpoint is listed and not draining, so that it may get new work.
+    /// Returns whether the endpoint may get new work: it is listed, and neither the list nor the
+    /// endpoint itself says that it leaves.
     pub fn accepts_work(&self) -> bool {
-        !self.delisted && !self.listing.draining
+        !self.delisted && !self.listing.draining && self.notice != LeavingNotice::Leaving
     }
 
     /// Returns the newest known version of a model's weights at the endpoint.
@@ -113,6 +129,7 @@
 impl Endpoints {
     /// Applies the listing of one endpoint. Listings of earlier incarnations are ignored.
     pub fn update(&mut self, listing: Listing) {
+        let mut notice = LeavingNotice::None;
         if let Some(key) = self.by_id.get(&listing.id) {
             let current = &mut self.arena[key.0 as usize];
             if current.listing.started_unix_ms > listing.started_unix_ms {
@@ -125,12 +142,16 @@
                 return;
             }
             current.delisted = true;
+            if !restarted {
+                notice = current.notice;
+            }
         }
         let index = u32::try_from(self.arena.len()).unwrap_or(u32::MAX);
         self.by_id.insert(listing.id.clone(), EndpointKey(index));
         self.arena.push(Endpoint {
             listing,
             delisted: false,
+            notice,
             in_flight: 0,
             other_load: 0,
             load_reported_ms: 0,
@@ -150,6 +171,20 @@
         }
     }
 
+    /// Records what an endpoint said in an answer about leaving. Returns whether this is new, so that
+    /// it is logged once.
+    pub fn notice_received(&mut self, key: EndpointKey, notice: LeavingNotice) -> bool {
+        let current = &mut self.arena[key.0 as usize].notice;
+        let is_new = match (*current, notice) {
+            (LeavingNotice::Leaving, _) | (_, LeavingNotice::None) => false,
+            (before, now) => before != now,
+        };
+        if is_new {
+            *current = notice;
+        }
+        is_new
+    }
+
     /// Returns the ids of the listed endpoints.
     pub fn ids(&self) -> Vec<Arc<str>> {
         self.by_id
