Instances together keep to the request limits that endpoints name

Cause: nothing read the limit; and the class of fault: a bound on the sum over all instances that no instance can keep by looking at itself. Sought elsewhere: the limits of scoring calls on slots divide by the callers already; orders go out under one lease. Change: fleet/limits.rs deals permits. The time of day is cut into slots of one request; each slot has one owner, which each instance works out by rendezvous hashing, without a message, also while the store is away. Permits lapse, so idle ones are not saved for a burst. What does not fit is refused at once (lookups) or waits (samples, scoring calls). docs/design/limits.md has what was weighed. Conclusion: the sum is kept.

--- a/flamingoscale/src/fleet/attempts.rs
+++ b/flamingoscale/src/fleet/attempts.rs
@@ -76,6 +76,12 @@
         self.next_attempt_ms = now_ms + self.hedge_delay_ms;
     }
 
+    /// Records that no endpoint takes a hedged attempt. The next attempt is due when the one in flight
+    /// has ended.
+    pub fn hedge_unavailable(&mut self) {
+        self.next_attempt_ms = u64::MAX;
+    }
+
     /// Records that no untried endpoint is left.
     pub fn exhausted(&mut self) {
         self.exhausted = true;
--- a/flamingoscale/src/fleet/choice.rs
+++ b/flamingoscale/src/fleet/choice.rs
@@ -20,7 +20,7 @@
 const TYPICAL_RESPONSE_MS: f64 = 30.0;
 
 /// Returns the endpoint of a service that is expected to respond first, or `None` if no untried
-/// endpoint accepts work.
+/// endpoint accepts work within its request limit.
 pub fn choose(
     endpoints: &Endpoints,
     service: &str,
@@ -31,6 +31,7 @@
     endpoints
         .of_service(service)
         .filter(|(key, endpoint)| endpoint.accepts_work() && !tried.contains(key))
+        .filter(|(_, endpoint)| endpoint.permits_requests(1))
         .map(|(key, endpoint)| {
             let listing = &endpoint.listing;
             let load = f64::from(endpoint.load(now_ms)) / f64::from(listing.slots.max(1));
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -6,7 +6,10 @@
 };
 
 use super::{
-    limits::RateLimit,
+    limits::{
+        Permits,
+        RateLimit, //
+    },
     migration::Pace, //
 };
 
@@ -44,8 +47,8 @@
     pub delisted: bool,
     /// What the endpoint said in its answers about leaving.
     pub notice: LeavingNotice,
-    /// The request limit that the endpoint named last; `None` while it names none.
-    pub limit: Option<RateLimit>,
+    /// Permits of this instance for requests to the endpoint; `None` while it names no limit.
+    pub permits: Option<Permits>,
     /// Requests of this instance in flight at the endpoint.
     pub in_flight: u32,
     /// Requests that the endpoint reported as running or waiting, excluding those of this instance.
@@ -105,6 +108,12 @@
         !self.delisted && !self.listing.draining && self.notice != LeavingNotice::Leaving
     }
 
+    /// Returns whether this instance may send `requests` more requests within the endpoint's limit.
+    pub fn permits_requests(&self, requests: u32) -> bool {
+        let permits = self.permits.as_ref();
+        permits.is_none_or(|permits| permits.left() >= requests)
+    }
+
     /// Returns the newest known version of a model's weights at the endpoint.
     pub fn version(&self, model: &str) -> Option<u64> {
         self.listing.versions.get(model).copied()
@@ -157,7 +166,7 @@
             listing,
             delisted: false,
             notice,
-            limit: None,
+            permits: None,
             in_flight: 0,
             other_load: 0,
             load_reported_ms: 0,
@@ -193,11 +202,48 @@
 
     /// Records the request limit that an endpoint named in an answer, or that it named none. Returns
     /// whether this differs from what it said before.
-    pub fn limit_heard(&mut self, key: EndpointKey, limit: Option<RateLimit>) -> bool {
-        let endpoint = &mut self.arena[key.0 as usize];
-        let changed = endpoint.limit != limit;
-        endpoint.limit = limit;
-        changed
+    pub fn limit_heard(
+        &mut self,
+        key: EndpointKey,
+        limit: Option<RateLimit>,
+        wall_ms: u64,
+    ) -> bool {
+        let permits = &mut self.arena[key.0 as usize].permits;
+        match (permits.as_mut(), limit) {
+            (Some(permits), Some(limit)) => permits.set_limit(limit),
+            (None, None) => false,
+            (_, limit) => {
+                *permits = limit.map(|limit| Permits::new(limit, wall_ms));
+                true
+            }
+        }
+    }
+
+    /// Returns whether an endpoint of the service names a request limit.
+    pub fn has_limits(&self, service: &str) -> bool {
+        self.of_service(service)
+            .any(|(_, endpoint)| endpoint.permits.is_some())
+    }
+
+    /// Adds the permits for requests to the endpoints of a service. `owns` returns whether this
+    /// instance owns a slot of an endpoint.
+    pub fn deal_permits(&mut self, service: &str, wall_ms: u64, owns: &dyn Fn(&str, u64) -> bool) {
+        for key in self.by_id.values() {
+            let endpoint = &mut self.arena[key.0 as usize];
+            if *endpoint.listing.service != *service {
+                continue;
+            }
+            if let Some(permits) = &mut endpoint.permits {
+                permits.deal(wall_ms, |slot| owns(&endpoint.listing.id, slot));
+            }
+        }
+    }
+
+    /// Uses a permit for a request to the endpoint, if it names a limit.
+    pub fn take_permit(&mut self, key: EndpointKey) {
+        if let Some(permits) = &mut self.arena[key.0 as usize].permits {
+            permits.take();
+        }
     }
 
     /// Returns the ids of the listed endpoints.
--- a/flamingoscale/src/fleet/leases.rs
+++ b/flamingoscale/src/fleet/leases.rs
@@ -39,6 +39,9 @@
     pub turn_ms: u64,
 }
 
+/// Prefix of the names of the leases under which samples run; the name of the model follows.
+pub const RUN_LEASE_PREFIX: &str = "run/";
+
 /// Margin that is added to the platform's turn time.
 const TURN_MARGIN_MS: u64 = 500;
 
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -106,6 +106,8 @@
     pub suspects: HashMap<u64, u32>,
     /// The model that each engine primarily serves, by endpoint id.
     pub assignments: HashMap<Arc<str>, Arc<str>>,
+    /// The services to which scoring calls were sent.
+    pub scoring_services: HashSet<Arc<str>>,
     /// The most recent result of each sample, from any batch.
     pub last_results: HashMap<Arc<str>, Rc<SampleResult>>,
     /// The most recent claims, by lease.
@@ -181,6 +183,9 @@
                 *self.suspects.entry(fingerprint).or_default() += 1;
             }
             Record::ModelAssignment { engines } => self.assignments = engines.into_iter().collect(),
+            Record::ScoringService { service } => {
+                self.scoring_services.insert(service);
+            }
             Record::TurnPassed { lease, term } => {
                 if let Some(state) = self.leases.get_mut(&lease) {
                     state.turn_passed |= state.term == term;
@@ -202,6 +207,15 @@
         self.next_offset = self.next_offset.max(end_offset);
     }
 
+    /// Returns the failure domain of an instance; empty if the instance is not known.
+    pub fn failure_domain(&self, instance: &str) -> Arc<str> {
+        let member = self.members.get(instance);
+        member.map_or_else(
+            || "".into(),
+            |member| member.heartbeat.failure_domain.clone(),
+        )
+    }
+
     /// Returns whether a sample still lacks a result and its batch has not ended.
     pub fn is_sample_open(&self, batch: &str, sample: &str) -> bool {
         let state = self.batches.get(batch);
--- a/flamingoscale/src/fleet/limits.rs
+++ b/flamingoscale/src/fleet/limits.rs
@@ -1,4 +1,30 @@
-//! The request limits that endpoints name in their answers.
+//! Divides the requests that an endpoint takes from all instances together among the instances.
+//!
+//! An instance that has heard of a limit needs a permit for each request. Permits come from a grid
+//! of slots in wall-clock time, and every instance works out by itself which instance owns a slot. So
+//! the sum over all instances stays within the limit without any message between them, also while
+//! the store is unavailable. The load that this answers is many instances that each send little and
+//! together too much; `docs/design/limits.md` has the argument.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc, //
+};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    cells::Cells,
+    configuration::{
+        Configuration,
+        RouteKind, //
+    },
+    leases::RUN_LEASE_PREFIX,
+    ledger::{
+        LeaseState,
+        Ledger, //
+    }, //
+};
 
 /// The number of requests that an endpoint takes from all instances together in a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +57,203 @@
     pub fn requests_per_s(self) -> f64 {
         self.requests_per_1000_s as f64 / 1_000.0
     }
+
+    /// Returns whether two limits differ by so little that the grid of the first one may stay. Slots
+    /// of different grids have unrelated owners.
+    fn is_close_to(self, other: Self) -> bool {
+        let difference = self.requests_per_1000_s.abs_diff(other.requests_per_1000_s);
+        difference * CLOSE_LIMITS_DIVISOR <= self.requests_per_1000_s
+    }
+
+    /// Returns the number of permits of one slot.
+    fn permits_per_slot(self) -> u64 {
+        (self.requests_per_1000_s * MIN_SLOT_MS)
+            .div_ceil(1_000_000)
+            .max(1)
+    }
+
+    /// Returns the length of a slot in microseconds.
+    fn slot_us(self) -> u64 {
+        self.permits_per_slot() * 1_000_000_000 / self.requests_per_1000_s
+    }
+
+    /// Returns how long a permit is valid, in milliseconds.
+    fn permit_lifetime_ms(self) -> u64 {
+        BASE_PERMIT_LIFETIME_MS + PERMIT_LIFETIME_REQUESTS * 1_000_000 / self.requests_per_1000_s
+    }
+}
+
+/// Limits that differ by less than the first one divided by this are close.
+const CLOSE_LIMITS_DIVISOR: u64 = 10;
+
+/// Smallest length of a slot. It bounds the work of finding the owners of the slots.
+const MIN_SLOT_MS: u64 = 50;
+
+/// Time for which a permit is valid, on top of that for [`PERMIT_LIFETIME_REQUESTS`]. In a window of
+/// `w` seconds an endpoint gets at most the permits of `w` seconds and one lifetime.
+const BASE_PERMIT_LIFETIME_MS: u64 = 1_500;
+
+/// A permit is valid for the time of this many requests longer, so that a small limit can be used.
+const PERMIT_LIFETIME_REQUESTS: u64 = 2;
+
+/// The permits of one instance for requests to one endpoint.
+#[derive(Clone, Debug)]
+pub struct Permits {
+    limit: RateLimit,
+    /// End of the time whose slots have been dealt, in microseconds of the wall clock.
+    dealt_until_us: u64,
+    /// When each unused permit becomes invalid, in milliseconds of the wall clock.
+    expiries_ms: VecDeque<u64>,
+}
+
+impl Permits {
+    /// Returns the state of an instance that heard of a limit at `wall_ms`. It has no permit yet.
+    pub fn new(limit: RateLimit, wall_ms: u64) -> Self {
+        Self {
+            limit,
+            dealt_until_us: wall_ms * 1_000,
+            expiries_ms: VecDeque::new(),
+        }
+    }
+
+    /// Returns the limit.
+    pub fn limit(&self) -> RateLimit {
+        self.limit
+    }
+
+    /// Replaces the limit, unless the new one is close to it. Returns whether it was replaced.
+    pub fn set_limit(&mut self, limit: RateLimit) -> bool {
+        let replaced = !self.limit.is_close_to(limit);
+        if replaced {
+            self.limit = limit;
+        }
+        replaced
+    }
+
+    /// Adds the permits of the slots that have started and that `owns` accepts, and drops the
+    /// permits that are no longer valid.
+    pub fn deal(&mut self, wall_ms: u64, owns: impl Fn(u64) -> bool) {
+        let lifetime_ms = self.limit.permit_lifetime_ms();
+        let slot_us = self.limit.slot_us();
+        let now_us = wall_ms * 1_000;
+        let first_us = (self.dealt_until_us).max(now_us.saturating_sub(lifetime_ms * 1_000));
+        for slot in first_us / slot_us + 1..=now_us / slot_us {
+            if owns(slot) {
+                let expiry_ms = slot * slot_us / 1_000 + lifetime_ms;
+                let permits = (0..self.limit.permits_per_slot()).map(|_| expiry_ms);
+                self.expiries_ms.extend(permits);
+            }
+        }
+        self.dealt_until_us = now_us.max(self.dealt_until_us);
+        self.expiries_ms.retain(|expiry_ms| *expiry_ms > wall_ms);
+    }
+
+    /// Returns the number of unused permits.
+    pub fn left(&self) -> u32 {
+        u32::try_from(self.expiries_ms.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Uses the permit that would expire first. Returns whether there was one.
+    pub fn take(&mut self) -> bool {
+        self.expiries_ms.pop_front().is_some()
+    }
+}
+
+/// A part of an endpoint's slots; all parts of a service are equal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Part {
+    /// Requests of callers, whom any instance may get.
+    Callers,
+    /// Samples of one model or their scoring calls, with the instance that runs them.
+    Samples { holder: Arc<str> },
+}
+
+/// Which instances may use the slots of the endpoints of one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shares {
+    parts: Vec<Part>,
+    /// The instances that callers may reach.
+    instances: Vec<Arc<str>>,
+}
+
+impl Shares {
+    /// Returns the shares of a service: a part for the callers, if a route of theirs leads to it, and
+    /// a part for each model whose samples it runs or scores.
+    pub fn of(
+        ledger: &Ledger,
+        configuration: &Configuration,
+        service: &str,
+        instances: Vec<Arc<str>>,
+    ) -> Self {
+        let has_callers = configuration.routes.iter().any(|route| {
+            let mut services = route.services.iter();
+            route.kind != RouteKind::Rollout
+                && services.any(|(name, weight)| **name == *service && *weight > 0)
+        });
+        let mut parts: Vec<Part> = has_callers.then_some(Part::Callers).into_iter().collect();
+        let scores_samples = ledger.scoring_services.contains(service);
+        let models = configuration
+            .services
+            .values()
+            .filter(|engines| *engines.name == *service || scores_samples)
+            .filter_map(|service| service.engines.as_ref())
+            .flat_map(|engines| &engines.models);
+        let holder = |model: &Arc<str>| {
+            let lease: &LeaseState = ledger.leases.get(&*format!("{RUN_LEASE_PREFIX}{model}"))?;
+            (!lease.released).then(|| lease.last_message.holder.clone())
+        };
+        parts.extend(
+            models
+                .filter_map(holder)
+                .map(|holder| Part::Samples { holder }),
+        );
+        if parts.is_empty() {
+            parts.push(Part::Callers);
+        }
+        Self { parts, instances }
+    }
+
+    /// Returns the instance that owns a slot of an endpoint.
+    ///
+    /// The slots of callers go to the instance with the highest hash. If instances know different
+    /// members, at most the slots of the members in which they differ have no owner or two.
+    pub fn owner(&self, endpoint: &str, slot: u64) -> Option<&Arc<str>> {
+        let seed = xxh3_64_with_seed(endpoint.as_bytes(), slot);
+        let part = seed % self.parts.len().max(1) as u64;
+        match self.parts.get(usize::try_from(part).ok()?)? {
+            Part::Samples { holder } => Some(holder),
+            Part::Callers => self
+                .instances
+                .iter()
+                .max_by_key(|instance| (xxh3_64_with_seed(instance.as_bytes(), seed), *instance)),
+        }
+    }
+}
+
+/// Returns the instances that may get callers: this one, those of its cell whose last heartbeat is
+/// recent, and all others that are not shutting down.
+///
+/// `last_read_ms` is the time of the last successful read of the heartbeats of the cell: while none
+/// succeeds, the last known instances stay.
+pub fn live_instances(
+    ledger: &Ledger,
+    own_name: &str,
+    last_read_ms: u64,
+    heartbeat_timeout_ms: u64,
+) -> Vec<Arc<str>> {
+    let cells = Cells::of(ledger);
+    let own_cell = cells.cell(own_name, &ledger.failure_domain(own_name));
+    let members = ledger.members.values().filter(|member| {
+        let heartbeat = &member.heartbeat;
+        let cell = cells.cell(&heartbeat.instance, &heartbeat.failure_domain);
+        let is_recent = last_read_ms.saturating_sub(member.seen_ms) < heartbeat_timeout_ms;
+        *heartbeat.instance != *own_name && !heartbeat.leaving && (is_recent || cell != own_cell)
+    });
+    let mut instances: Vec<Arc<str>> = members
+        .map(|member| member.heartbeat.instance.clone())
+        .collect();
+    instances.push(own_name.into());
+    instances
 }
 
 #[cfg(test)]
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -439,6 +439,12 @@
         /// Term of the lease.
         term: u64,
     },
+    /// Scoring calls are sent to a service, so the instances that run samples have a share of its
+    /// endpoints' request limits.
+    ScoringService {
+        /// Name of the service.
+        service: Arc<str>,
+    },
 }
 
 impl Record {
@@ -556,6 +562,7 @@
             Self::Suspect { .. } => format!("a/q/{writer}/{serial}"),
             Self::ModelAssignment { .. } => "a/p".to_owned(),
             Self::TurnPassed { lease, .. } => format!("a/t/{lease}"),
+            Self::ScoringService { service } => format!("a/s/{service}"),
         }
     }
 }
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -297,8 +297,8 @@
         .unwrap_or(f64::INFINITY)
 }
 
-/// Returns the engine with the lowest cost among those that have a free slot and whose weights are
-/// new enough for the batch.
+/// Returns the engine with the lowest cost among those that have a free slot and a permit, and whose
+/// weights are new enough for the batch.
 fn pick_engine(
     ledger: &Ledger,
     endpoints: &Endpoints,
@@ -310,7 +310,11 @@
     let model = &batch.model;
     let median_ms = median_event_ms(endpoints, query.service);
     let cost = |key: EndpointKey, endpoint: &Endpoint| {
-        let occupied = endpoint.in_flight + reserved.get(&key).copied().unwrap_or(0);
+        let reserved = reserved.get(&key).copied().unwrap_or(0);
+        if !endpoint.permits_requests(reserved + 1) {
+            return None;
+        }
+        let occupied = endpoint.in_flight + reserved;
         let slots = endpoint.listing.slots.max(1);
         let assigned = ledger.assignments.get(&endpoint.listing.id) == Some(model);
         let assignment_cost = if assigned { 0.0 } else { OTHER_MODEL_COST };
--- a/flamingoscale/src/fleet/scoring.rs
+++ b/flamingoscale/src/fleet/scoring.rs
@@ -32,6 +32,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TextNumber(u64);
 
+/// How many calls one instance may send to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallLimit {
+    /// Number of calls at the same time; see [`call_limit`].
+    pub concurrent: u32,
+    /// Number of calls that may be sent now; `None` if an endpoint of the service names no request
+    /// limit.
+    pub permits: Option<u32>,
+}
+
 /// A scoring call to send now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ScoringStart {
@@ -131,7 +141,7 @@
         &mut self,
         ledger: &Ledger,
         service: &dyn Fn(&SampleId) -> Option<Arc<str>>,
-        limit: &dyn Fn(&str) -> u32,
+        limit: &dyn Fn(&str) -> CallLimit,
         now_ms: u64,
     ) -> Vec<ScoringStart> {
         let mut in_flight: HashMap<Arc<str>, u32> = HashMap::new();
@@ -151,19 +161,23 @@
             })
             .collect();
         candidates.sort();
+        let mut started: HashMap<Arc<str>, u32> = HashMap::new();
         let mut starts = Vec::new();
         for (_, sample) in candidates {
             let Some(service) = service(&sample) else {
                 continue;
             };
             let is_down = self.unanswered_calls.get(&service) >= Some(&DOWN_AFTER_CALLS);
-            let limit = if is_down { 1 } else { limit(&service) };
+            let limit = limit(&service);
+            let concurrent = if is_down { 1 } else { limit.concurrent };
             let calls = in_flight.entry(service.clone()).or_default();
-            if *calls >= limit {
+            let sent = started.entry(service.clone()).or_default();
+            if *calls >= concurrent || limit.permits.is_some_and(|permits| *sent >= permits) {
                 continue;
             }
             if let Some(state) = self.unscored.get_mut(&sample) {
                 *calls += 1;
+                *sent += 1;
                 state.called_service = Some(service);
                 starts.push(ScoringStart {
                     text: state.text,
--- a/flamingoscale/src/fleet/scoring/tests.rs
+++ b/flamingoscale/src/fleet/scoring/tests.rs
@@ -34,6 +34,10 @@
 
 fn calls(scorer: &mut Scorer, ledger: &Ledger, limit: u32, now_ms: u64) -> Vec<ScoringStart> {
     let service = |_: &SampleId| Some(Arc::from(SERVICE));
+    let limit = CallLimit {
+        concurrent: limit,
+        permits: None,
+    };
     scorer.next_calls(ledger, &service, &|_| limit, now_ms)
 }
 
