Request limits are announced, and idle models leave their slots to busy ones

And a third of the slots of an engine went to a model that had nothing to run. Left: engines are assigned to models without regard to their limits.

--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -7,6 +7,7 @@
 
 use super::{
     limits::{
+        AnnouncedLimit,
         Permits,
         RateLimit, //
     },
@@ -49,6 +50,10 @@
     pub notice: LeavingNotice,
     /// Permits of this instance for requests to the endpoint; `None` while it names no limit.
     pub permits: Option<Permits>,
+    /// When this instance last heard whether the endpoint names a limit, in monotonic milliseconds.
+    pub limit_known_ms: u64,
+    /// When this instance last told the others of the limit, in monotonic milliseconds.
+    pub limit_announced_ms: u64,
     /// Requests of this instance in flight at the endpoint.
     pub in_flight: u32,
     /// Requests that the endpoint reported as running or waiting, excluding those of this instance.
@@ -101,6 +106,9 @@
 /// Load reports older than this are ignored.
 const MAX_REPORT_AGE_MS: u64 = 500;
 
+/// Interval between two announcements of an endpoint's request limit by one instance.
+const ANNOUNCEMENT_INTERVAL_MS: u64 = 1_000;
+
 impl Endpoint {
     /// Returns whether the endpoint may get new work: it is listed, and neither the list nor the
     /// endpoint itself says that it leaves.
@@ -167,6 +175,8 @@
             delisted: false,
             notice,
             permits: None,
+            limit_known_ms: 0,
+            limit_announced_ms: 0,
             in_flight: 0,
             other_load: 0,
             load_reported_ms: 0,
@@ -206,9 +216,12 @@
         &mut self,
         key: EndpointKey,
         limit: Option<RateLimit>,
+        now_ms: u64,
         wall_ms: u64,
     ) -> bool {
-        let permits = &mut self.arena[key.0 as usize].permits;
+        let endpoint = &mut self.arena[key.0 as usize];
+        endpoint.limit_known_ms = now_ms;
+        let permits = &mut endpoint.permits;
         match (permits.as_mut(), limit) {
             (Some(permits), Some(limit)) => permits.set_limit(limit),
             (None, None) => false,
@@ -219,6 +232,32 @@
         }
     }
 
+    /// Records that this instance tells the others of the endpoint's limit. Returns whether it may: it
+    /// has not done so within the last second, in which its record is read back.
+    pub fn announce_limit(&mut self, key: EndpointKey, now_ms: u64) -> bool {
+        let announced_ms = &mut self.arena[key.0 as usize].limit_announced_ms;
+        let is_due = now_ms.saturating_sub(*announced_ms) >= ANNOUNCEMENT_INTERVAL_MS;
+        if is_due {
+            *announced_ms = now_ms;
+        }
+        is_due
+    }
+
+    /// Applies the limits that other instances have announced, unless this instance has heard from
+    /// the endpoint since.
+    pub fn adopt_limits(&mut self, announced: &HashMap<Arc<str>, AnnouncedLimit>, wall_ms: u64) {
+        for (id, announced) in announced {
+            let Some(key) = self.find(id) else {
+                continue;
+            };
+            let endpoint = self.get(key);
+            let same_start = endpoint.listing.started_unix_ms == announced.started_unix_ms;
+            if same_start && endpoint.limit_known_ms < announced.seen_ms {
+                self.limit_heard(key, announced.limit, announced.seen_ms, wall_ms);
+            }
+        }
+    }
+
     /// Returns whether an endpoint of the service names a request limit.
     pub fn has_limits(&self, service: &str) -> bool {
         self.of_service(service)
--- a/flamingoscale/src/fleet/endpoints/tests.rs
+++ b/flamingoscale/src/fleet/endpoints/tests.rs
@@ -202,3 +202,33 @@
 fn listing_that_clears_the_notice_is_found() {
     assert!(play_notices(true).is_err());
 }
+
+#[test]
+fn announced_limit_holds_until_a_later_answer_or_a_restart() {
+    let limit = RateLimit::parse("2");
+    let announced = |limit, seen_ms| {
+        let announced = AnnouncedLimit {
+            started_unix_ms: 1,
+            limit,
+            seen_ms,
+        };
+        HashMap::from([("e1".into(), announced)])
+    };
+    let mut endpoints = endpoints(&[listing("e1", "saiq", 1)]);
+    let key = endpoints.find("e1").unwrap();
+    endpoints.adopt_limits(&announced(limit, 1_000), 0);
+    assert!(!endpoints.get(key).permits_requests(1));
+    endpoints.limit_heard(key, None, 2_000, 0);
+    endpoints.adopt_limits(&announced(limit, 1_500), 0);
+    assert!(endpoints.get(key).permits_requests(1));
+    endpoints.adopt_limits(&announced(limit, 2_500), 0);
+    assert!(!endpoints.get(key).permits_requests(1));
+    endpoints.adopt_limits(&announced(None, 3_000), 0);
+    assert!(endpoints.get(key).permits_requests(1));
+    let mut restarted = listing("e1", "saiq", 1);
+    restarted.started_unix_ms = 2;
+    endpoints.update(restarted);
+    endpoints.adopt_limits(&announced(limit, 4_000), 0);
+    let key = endpoints.find("e1").unwrap();
+    assert!(endpoints.get(key).permits_requests(1));
+}
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -22,15 +22,18 @@
     BatchState,
     ResultList, //
 };
-use super::record::{
-    batch_partition,
-    BatchSummary,
-    Heartbeat,
-    LeaseMessage,
-    Milestone,
-    Record,
-    Removed,
-    SampleResult, //
+use super::{
+    limits::AnnouncedLimit,
+    record::{
+        batch_partition,
+        BatchSummary,
+        Heartbeat,
+        LeaseMessage,
+        Milestone,
+        Record,
+        Removed,
+        SampleResult, //
+    }, //
 };
 
 /// Batches that were submitted longer ago than this count as over, even if no end was recorded. No
@@ -106,6 +109,8 @@
     pub suspects: HashMap<u64, u32>,
     /// The model that each engine primarily serves, by endpoint id.
     pub assignments: HashMap<Arc<str>, Arc<str>>,
+    /// The request limits that instances have announced, by endpoint id.
+    pub limits: HashMap<Arc<str>, AnnouncedLimit>,
     /// The services to which scoring calls were sent.
     pub scoring_services: HashSet<Arc<str>>,
     /// The most recent result of each sample, from any batch.
@@ -183,6 +188,18 @@
                 *self.suspects.entry(fingerprint).or_default() += 1;
             }
             Record::ModelAssignment { engines } => self.assignments = engines.into_iter().collect(),
+            Record::EndpointLimit {
+                endpoint,
+                started_unix_ms,
+                limit,
+            } => {
+                let announced = AnnouncedLimit {
+                    started_unix_ms,
+                    limit,
+                    seen_ms: now_ms,
+                };
+                self.limits.insert(endpoint, announced);
+            }
             Record::ScoringService { service } => {
                 self.scoring_services.insert(service);
             }
@@ -287,6 +304,7 @@
     pub fn remove(&mut self, removed: Removed<'_>) {
         match removed {
             Removed::Window(window) => drop(self.windows.remove(&window)),
+            Removed::Limit(endpoint) => drop(self.limits.remove(endpoint)),
             Removed::Batch(batch) => {
                 self.registered.remove(batch);
                 self.ended.remove(batch);
--- a/flamingoscale/src/fleet/limits.rs
+++ b/flamingoscale/src/fleet/limits.rs
@@ -7,10 +7,17 @@
 //! together too much; `docs/design/limits.md` has the argument.
 
 use std::{
-    collections::VecDeque,
+    collections::{
+        HashSet,
+        VecDeque, //
+    },
     sync::Arc, //
 };
 
+use serde::{
+    Deserialize,
+    Serialize, //
+};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
@@ -27,7 +34,7 @@
 };
 
 /// The number of requests that an endpoint takes from all instances together in a time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RateLimit {
     requests_per_1000_s: u64,
 }
@@ -60,7 +67,7 @@
 
     /// Returns whether two limits differ by so little that the grid of the first one may stay. Slots
     /// of different grids have unrelated owners.
-    fn is_close_to(self, other: Self) -> bool {
+    pub(crate) fn is_close_to(self, other: Self) -> bool {
         let difference = self.requests_per_1000_s.abs_diff(other.requests_per_1000_s);
         difference * CLOSE_LIMITS_DIVISOR <= self.requests_per_1000_s
     }
@@ -83,6 +90,28 @@
     }
 }
 
+/// What an instance has told the others about the request limit of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnnouncedLimit {
+    /// Start time of the endpoint in Unix milliseconds; a limit holds for one start.
+    pub started_unix_ms: u64,
+    /// The limit, or `None` if the endpoint no longer names one.
+    pub limit: Option<RateLimit>,
+    /// When this instance read the announcement, in monotonic milliseconds.
+    pub seen_ms: u64,
+}
+
+impl AnnouncedLimit {
+    /// Returns whether the announcement says what an endpoint with this start names now.
+    pub fn says(&self, started_unix_ms: u64, limit: Option<RateLimit>) -> bool {
+        let same_limit = match (self.limit, limit) {
+            (Some(announced), Some(limit)) => announced.is_close_to(limit),
+            (announced, limit) => announced == limit,
+        };
+        self.started_unix_ms == started_unix_ms && same_limit
+    }
+}
+
 /// Limits that differ by less than the first one divided by this are close.
 const CLOSE_LIMITS_DIVISOR: u64 = 10;
 
@@ -178,7 +207,8 @@
 
 impl Shares {
     /// Returns the shares of a service: a part for the callers, if a route of theirs leads to it, and
-    /// a part for each model whose samples it runs or scores.
+    /// a part for each model whose samples it runs or scores. Models without an unfinished batch have
+    /// no part while others have one.
     pub fn of(
         ledger: &Ledger,
         configuration: &Configuration,
@@ -198,15 +228,23 @@
             .filter(|engines| *engines.name == *service || scores_samples)
             .filter_map(|service| service.engines.as_ref())
             .flat_map(|engines| &engines.models);
+        let mut models: Vec<&Arc<str>> = models.collect();
+        models.sort();
+        let busy_models: HashSet<&Arc<str>> = ledger
+            .registered
+            .values()
+            .filter(|batch| batch.is_unfinished())
+            .map(|batch| &batch.summary.model)
+            .collect();
+        if models.iter().any(|model| busy_models.contains(model)) {
+            models.retain(|model| busy_models.contains(model));
+        }
         let holder = |model: &Arc<str>| {
             let lease: &LeaseState = ledger.leases.get(&*format!("{RUN_LEASE_PREFIX}{model}"))?;
             (!lease.released).then(|| lease.last_message.holder.clone())
         };
-        parts.extend(
-            models
-                .filter_map(holder)
-                .map(|holder| Part::Samples { holder }),
-        );
+        let holders = models.into_iter().filter_map(holder);
+        parts.extend(holders.map(|holder| Part::Samples { holder }));
         if parts.is_empty() {
             parts.push(Part::Callers);
         }
--- a/flamingoscale/src/fleet/limits/tests.rs
+++ b/flamingoscale/src/fleet/limits/tests.rs
@@ -1,5 +1,10 @@
 //! Tests that requests to an endpoint stay within the limit that it names.
 
+use std::collections::{
+    BTreeSet,
+    HashMap, //
+};
+
 use rand::{
     RngExt,
     SeedableRng, //
@@ -7,6 +12,18 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::*;
+use crate::fleet::{
+    configuration::{
+        Engines,
+        Service, //
+    },
+    fixtures::{
+        batch,
+        lease_message, //
+        ledger_of,
+    },
+    record::Record, //
+};
 
 #[test]
 fn limits_are_decimal_numbers() {
@@ -204,3 +221,43 @@
     assert_eq!(permits.limit(), limit("10"));
     assert!(permits.set_limit(limit("5")));
 }
+
+/// Returns the configuration of a service of engines for two models, with samples only.
+fn engines_for(models: [&str; 2]) -> Configuration {
+    let service = Service {
+        name: "drafting".into(),
+        engines: Some(Engines {
+            models: models.map(Arc::from).to_vec(),
+        }),
+    };
+    Configuration {
+        services: HashMap::from([(service.name.clone(), service)]),
+        ..Configuration::default()
+    }
+}
+
+#[test]
+fn slots_of_engines_go_to_the_models_with_an_unfinished_batch() {
+    let configuration = engines_for(["cards", "notes"]);
+    let lease =
+        |model: &str, holder| Record::Claim(lease_message(&format!("run/{model}"), holder, 1, 0));
+    let leases = [lease("cards", "front-1"), lease("notes", "front-2")];
+    let owners = |records: Vec<Record>| {
+        let ledger = ledger_of(leases.iter().cloned().chain(records));
+        let shares = Shares::of(&ledger, &configuration, "drafting", vec!["front-3".into()]);
+        let slots = 0..1_000;
+        let owners = slots.filter_map(|slot| shares.owner("e1", slot).map(ToString::to_string));
+        owners.collect::<BTreeSet<_>>()
+    };
+    let names = |names: &[&str]| {
+        names
+            .iter()
+            .map(ToString::to_string)
+            .collect::<BTreeSet<_>>()
+    };
+    assert_eq!(owners(Vec::new()), names(&["front-1", "front-2"]));
+    let notes = batch("b1", 1, 1, |_, _| 10);
+    assert_eq!(owners(vec![notes.clone()]), names(&["front-2"]));
+    let ended = Record::BatchEnded { batch: "b1".into() };
+    assert_eq!(owners(vec![notes, ended]), names(&["front-1", "front-2"]));
+}
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -14,7 +14,10 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::texts::TextLocation;
+use super::{
+    limits::RateLimit,
+    texts::TextLocation, //
+};
 
 /// The result of encoding or decoding a record or another value of the store.
 pub type Result<T> = std::result::Result<T, RecordError>;
@@ -445,6 +448,15 @@
         /// Name of the service.
         service: Arc<str>,
     },
+    /// An endpoint names another request limit than before, or none any more.
+    EndpointLimit {
+        /// Id of the endpoint.
+        endpoint: Arc<str>,
+        /// Start time of the endpoint in Unix milliseconds.
+        started_unix_ms: u64,
+        /// The limit; `None` if the endpoint names none.
+        limit: Option<RateLimit>,
+    },
 }
 
 impl Record {
@@ -563,6 +575,7 @@
             Self::ModelAssignment { .. } => "a/p".to_owned(),
             Self::TurnPassed { lease, .. } => format!("a/t/{lease}"),
             Self::ScoringService { service } => format!("a/s/{service}"),
+            Self::EndpointLimit { endpoint, .. } => limit_key(endpoint),
         }
     }
 }
@@ -615,6 +628,11 @@
     u32::try_from(xxh3_64(model.as_bytes()) % u64::from(BATCH_PARTITIONS)).unwrap_or(0)
 }
 
+/// Returns the key of the [`Record::EndpointLimit`] record of an endpoint.
+pub fn limit_key(endpoint: &str) -> String {
+    format!("{LIMIT_KEY_PREFIX}{endpoint}")
+}
+
 /// Returns the key of the [`Record::BatchEnded`] record of a batch.
 pub fn ended_key(batch: &str) -> String {
     format!("a/e/{batch}")
@@ -630,6 +648,7 @@
 
 const REGISTERED_KEY_PREFIX: &str = "a/o/";
 const REPORTED_KEY_PREFIX: &str = "a/d/";
+const LIMIT_KEY_PREFIX: &str = "a/n/";
 
 /// The state that becomes obsolete when a record is removed from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -638,6 +657,8 @@
     Batch(&'a str),
     /// All state of the usage window with this number.
     Window(u64),
+    /// The request limit of the endpoint with this id.
+    Limit(&'a str),
 }
 
 impl<'a> Removed<'a> {
@@ -646,6 +667,9 @@
         if let Some(window) = key.strip_prefix(REPORTED_KEY_PREFIX) {
             return window.parse().ok().map(Self::Window);
         }
+        if let Some(endpoint) = key.strip_prefix(LIMIT_KEY_PREFIX) {
+            return Some(Self::Limit(endpoint));
+        }
         // The batch id is followed by the writer's name, its incarnation and the serial number.
         let rest = key.strip_prefix(REGISTERED_KEY_PREFIX)?;
         rest.rsplitn(4, '/').nth(3).map(Self::Batch)
