Texts and streams go on only with the software that began them

What callers saw: texts and streams that hold events of two software versions of a back end (ORDER). Cause: a text that broke off was continued at any engine with fitting weights, a caller's stream at any engine; the version of the software in the list was not read. Class: what is continued elsewhere has to carry all that it depends on. Change: a text names the software that began it, in checkpoints too; it goes on there, or starts again if only other engines have room. While a service has two versions, instances tell each other of their streams of the last minute; a stream that nobody told of began before.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -24,5 +24,6 @@
 pub mod record;
 pub mod sampling;
 pub mod scoring;
+pub mod streams;
 pub mod texts;
 pub mod usage;
--- a/flamingoscale/src/fleet/checkpoints.rs
+++ b/flamingoscale/src/fleet/checkpoints.rs
@@ -18,7 +18,10 @@
     Deserialize,
     Serialize, //
 };
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use super::{
     record::PartialText,
@@ -40,6 +43,8 @@
     pub text: Arc<str>,
     /// Versions of the weights that generated the text up to this part.
     pub versions: Vec<u64>,
+    /// Version of the software of the engines that generated the text.
+    pub software: Arc<str>,
     /// Whether the text is complete and waits for its score only.
     pub complete: bool,
 }
@@ -58,7 +63,8 @@
 struct StoredText {
     last_event: u64,
     bytes: usize,
-    /// Digest of the stored bytes: a sample that was started again has another text.
+    /// Digest of the stored bytes and of the software that generated them: a sample that was started
+    /// again has another text.
     digest: u64,
     complete: bool,
 }
@@ -102,7 +108,7 @@
             let stored = StoredText {
                 last_event: text.last_event,
                 bytes: text.text.len(),
-                digest: xxh3_64(text.text.as_bytes()),
+                digest: digest(text, text.text.len()),
                 complete: text.complete,
             };
             self.stored.insert(id.clone(), stored);
@@ -130,10 +136,9 @@
 
     /// Returns what has been added to a text since its last part; `None` if nothing has.
     fn next_part(&self, id: &SampleId, text: &PartialText) -> Option<TextPart> {
-        let bytes = text.text.as_bytes();
         let stored = self.stored.get(id).filter(|stored| {
-            let is_prefix = |prefix: &[u8]| xxh3_64(prefix) == stored.digest;
-            stored.last_event <= text.last_event && bytes.get(..stored.bytes).is_some_and(is_prefix)
+            let fits = stored.last_event <= text.last_event && stored.bytes <= text.text.len();
+            fits && digest(text, stored.bytes) == stored.digest
         });
         let previous_event = stored.map_or(0, |stored| stored.last_event);
         let is_new = previous_event < text.last_event
@@ -154,11 +159,18 @@
             last_event: text.last_event,
             text: added.into(),
             versions: text.versions.clone(),
+            software: text.software.clone(),
             complete: text.complete,
         })
     }
 }
 
+/// Returns a digest of the first bytes of a text and of the software that generated them.
+fn digest(text: &PartialText, bytes: usize) -> u64 {
+    let seed = xxh3_64(text.software.as_bytes());
+    xxh3_64_with_seed(&text.text.as_bytes()[..bytes], seed)
+}
+
 /// Joins the parts that one instance stored, in the order in which it stored them. A part whose
 /// predecessor is missing is left out with all that follow.
 pub fn join_parts(parts: impl IntoIterator<Item = TextPart>) -> Vec<PartialText> {
@@ -178,6 +190,7 @@
             last_event: part.last_event,
             text,
             versions: part.versions,
+            software: part.software,
             complete: part.complete,
         };
         joined.insert(id, partial);
--- a/flamingoscale/src/fleet/checkpoints/tests.rs
+++ b/flamingoscale/src/fleet/checkpoints/tests.rs
@@ -23,6 +23,7 @@
         last_event: events,
         text: data.join("\n").into(),
         versions: vec![u64::from(run)],
+        software: "v1".into(),
         complete: false,
     }
 }
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -1,7 +1,10 @@
 //! The endpoints that the platform lists, with their health and load as observed by this instance.
 
 use std::{
-    collections::HashMap,
+    collections::{
+        BTreeSet,
+        HashMap, //
+    },
     sync::Arc, //
 };
 
@@ -31,6 +34,8 @@
     pub failure_domain: Arc<str>,
     /// Number of requests that the endpoint runs concurrently.
     pub slots: u32,
+    /// Version of the endpoint's software. What two versions generate does not fit together.
+    pub software: Arc<str>,
     /// Whether the endpoint is draining and accepts no new work.
     pub draining: bool,
     /// Version of the loaded weights, by model.
@@ -317,6 +322,13 @@
             })
     }
 
+    /// Returns the versions of the software of the listed endpoints of a service.
+    pub fn software_of(&self, service: &str) -> BTreeSet<Arc<str>> {
+        self.of_service(service)
+            .map(|(_, endpoint)| endpoint.listing.software.clone())
+            .collect()
+    }
+
     /// Counts a request as in flight at the endpoint.
     pub fn request_sent(&mut self, key: EndpointKey) {
         self.arena[key.0 as usize].in_flight += 1;
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -159,6 +159,7 @@
         address: "10.128.0.9:8080".into(),
         failure_domain: failure_domain.into(),
         slots: 4,
+        software: "v1".into(),
         draining: false,
         versions: HashMap::from([("notes".into(), version)]),
         started_unix_ms: 1,
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -155,6 +155,8 @@
             | Record::ScoredResults { .. } => self.apply_batch_record(record),
             // Counts are read when their window is settled.
             Record::BatchAccepted { .. } | Record::UsageCounts { .. } => (),
+            // Streams are read when a caller resumes one.
+            Record::StreamBegan { .. } => (),
             Record::BatchRegistered(summary) => self.register_batch(summary),
             Record::BatchMilestone { batch, milestone } => {
                 if let Some(registered) = self.registered.get_mut(&batch) {
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -276,6 +276,9 @@
     pub text: Arc<str>,
     /// Versions of the weights that generated a part of the text.
     pub versions: Vec<u64>,
+    /// Version of the software of the engines that generated the text. Only engines with the same
+    /// software may continue it.
+    pub software: Arc<str>,
     /// Whether the text is complete and waits for its score only.
     pub complete: bool,
 }
@@ -457,6 +460,15 @@
         /// The limit; `None` if the endpoint names none.
         limit: Option<RateLimit>,
     },
+    /// The software that generated the stream of a caller, while a service has several.
+    StreamBegan {
+        /// Id of the caller's request that brought the first event.
+        id: Arc<str>,
+        /// Version of the endpoint's software.
+        software: Arc<str>,
+        /// When the record was written, in Unix milliseconds.
+        written_unix_ms: u64,
+    },
 }
 
 impl Record {
@@ -576,6 +588,7 @@
             Self::TurnPassed { lease, .. } => format!("a/t/{lease}"),
             Self::ScoringService { service } => format!("a/s/{service}"),
             Self::EndpointLimit { endpoint, .. } => limit_key(endpoint),
+            Self::StreamBegan { id, .. } => format!("{}{writer}", stream_key_prefix(id)),
         }
     }
 }
@@ -628,6 +641,19 @@
     u32::try_from(xxh3_64(model.as_bytes()) % u64::from(BATCH_PARTITIONS)).unwrap_or(0)
 }
 
+/// Returns the key prefix of the [`Record::StreamBegan`] record of a stream.
+pub fn stream_key_prefix(id: &str) -> String {
+    format!("s/{id}/")
+}
+
+/// Number of partitions of the topic of streams.
+pub const STREAM_PARTITIONS: u32 = 8;
+
+/// Returns the partition of the [`Record::StreamBegan`] record of a stream.
+pub fn stream_partition(id: &str) -> u32 {
+    u32::try_from(xxh3_64(id.as_bytes()) % u64::from(STREAM_PARTITIONS)).unwrap_or(0)
+}
+
 /// Returns the key of the [`Record::EndpointLimit`] record of an endpoint.
 pub fn limit_key(endpoint: &str) -> String {
     format!("{LIMIT_KEY_PREFIX}{endpoint}")
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -132,13 +132,16 @@
     /// Returns the samples to start now and marks them as running.
     ///
     /// `owned_models` are the models whose sampling leases this instance holds. `service` returns
-    /// the service of a sample, or `None` if its route no longer exists.
+    /// the service of a sample, or `None` if its route no longer exists. `software` returns the version
+    /// of the software that generated the text so far of a sample; the sample starts on another one,
+    /// from the beginning, only if no engine with that software has room.
     pub fn next_starts(
         &mut self,
         ledger: &Ledger,
         endpoints: &Endpoints,
         owned_models: &HashSet<Arc<str>>,
         service: &dyn Fn(&BatchState, &Sample) -> Option<Arc<str>>,
+        software: &dyn Fn(&SampleId) -> Option<Arc<str>>,
         now_ms: u64,
     ) -> Vec<Start> {
         let mut batches: Vec<&BatchState> = ledger
@@ -166,18 +169,22 @@
                 let Some(service) = service(state, sample) else {
                     continue;
                 };
-                let engine = |excluded| {
-                    let service = &service;
-                    let query = EngineQuery {
-                        service,
-                        state,
-                        excluded,
+                let software = software(&id);
+                let engine = |software: Option<&str>| {
+                    let find = |excluded| {
+                        let query = EngineQuery {
+                            service: &service,
+                            state,
+                            software,
+                            excluded,
+                        };
+                        pick_engine(ledger, endpoints, &query, &reserved, now_ms)
                     };
-                    pick_engine(ledger, endpoints, &query, &reserved, now_ms)
+                    // Running again on the previous engine is better than not running.
+                    find(progress.previous_engine).or_else(|| find(None))
                 };
-                // Running again on the previous engine is better than not running.
-                let Some(endpoint) = engine(progress.previous_engine).or_else(|| engine(None))
-                else {
+                let same_software = software.as_deref().and_then(|name| engine(Some(name)));
+                let Some(endpoint) = same_software.or_else(|| engine(None)) else {
                     break;
                 };
                 *reserved.entry(endpoint).or_default() += 1;
@@ -256,6 +263,8 @@
 struct EngineQuery<'a> {
     service: &'a str,
     state: &'a BatchState,
+    /// Version of the software that the engine must have; `None` for any.
+    software: Option<&'a str>,
     excluded: Option<EndpointKey>,
 }
 
@@ -272,6 +281,7 @@
     let query = EngineQuery {
         service,
         state,
+        software: Some(&endpoints.get(excluded).listing.software),
         excluded: Some(excluded),
     };
     let engine = pick_engine(ledger, endpoints, &query, &HashMap::new(), now_ms);
@@ -332,6 +342,10 @@
         .of_service(query.service)
         .filter(|(key, _)| Some(*key) != query.excluded)
         .filter(|(_, endpoint)| endpoint.accepts_work() && endpoint.refused_until_ms <= now_ms)
+        .filter(|(_, endpoint)| {
+            let software = &*endpoint.listing.software;
+            query.software.is_none_or(|needed| needed == software)
+        })
         .filter(|(_, endpoint)| {
             endpoint
                 .version(model)
--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -36,7 +36,14 @@
 ) -> Vec<Start> {
     let owned_models = HashSet::from([Arc::from("notes")]);
     let service = |_: &BatchState, _: &Sample| Some(Arc::from("drafting"));
-    sampler.next_starts(ledger, endpoints, &owned_models, &service, now_ms)
+    sampler.next_starts(
+        ledger,
+        endpoints,
+        &owned_models,
+        &service,
+        &|_| None,
+        now_ms,
+    )
 }
 
 #[test]
@@ -139,8 +146,14 @@
     assert!(starts(&mut Sampler::default(), &ended_batch, &endpoints, 0).is_empty());
     let open_batch = ledger_of(vec![assign(&["e1"]), batch("b", 1, 1, |_, _| 10)]);
     let service = |_: &BatchState, _: &Sample| Some(Arc::from("drafting"));
-    let started =
-        Sampler::default().next_starts(&open_batch, &endpoints, &HashSet::new(), &service, 0);
+    let started = Sampler::default().next_starts(
+        &open_batch,
+        &endpoints,
+        &HashSet::new(),
+        &service,
+        &|_| None,
+        0,
+    );
     assert!(started.is_empty());
 }
 
--- a/flamingoscale/src/fleet/texts/tests.rs
+++ b/flamingoscale/src/fleet/texts/tests.rs
@@ -66,6 +66,7 @@
         last_event,
         text: format!("{last_event} events").into(),
         versions: vec![1],
+        software: "v1".into(),
         complete: false,
     }
 }
