--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -260,3 +260,43 @@
     let order = start_order(&ledger.batches["b"], &ledger);
     assert_eq!(order[0], 2);
 }
+
+#[test]
+fn sample_is_placed_again_after_any_number_of_crashes() {
+    let ledger = ledger_of(vec![assign(&["e1"]), batch("b", 1, 1, |_, _| 10)]);
+    let mut endpoints = endpoints(&[listing("e1", "saiq", 1)]);
+    let engine = endpoints.find("e1").unwrap();
+    let mut sampler = Sampler::default();
+    let mut now_ms = 0;
+    for _ in 0..100 {
+        let started = starts(&mut sampler, &ledger, &endpoints, now_ms);
+        assert_eq!(started.len(), 2);
+        for start in started {
+            sampler.attempt_finished(&start.sample, engine, 0, now_ms);
+        }
+        endpoints.failed(engine, now_ms);
+        now_ms += MAX_RETRY_DELAY_MS;
+    }
+}
+
+#[test]
+fn sample_goes_on_with_its_software_or_starts_again_elsewhere() {
+    let ledger = ledger_of(vec![assign(&["e1", "e2"]), batch("b", 1, 1, |_, _| 10)]);
+    let mut newer = listing("e2", "saiq", 1);
+    newer.software = "v2".into();
+    let mut endpoints = endpoints(&[listing("e1", "saiq", 1), newer]);
+    let owned_models = HashSet::from([Arc::from("notes")]);
+    let service = |_: &BatchState, _: &Sample| Some(Arc::from("drafting"));
+    let software = |_: &SampleId| Some(Arc::from("v2"));
+    let starts = |endpoints: &Endpoints| {
+        let mut sampler = Sampler::default();
+        sampler.next_starts(&ledger, endpoints, &owned_models, &service, &software, 0)
+    };
+    let all_at = |endpoints: &Endpoints, id: &str| {
+        let key = endpoints.find(id).unwrap();
+        starts(endpoints).iter().all(|start| start.endpoint == key)
+    };
+    assert!(all_at(&endpoints, "e2"));
+    endpoints.remove("e2");
+    assert!(all_at(&endpoints, "e1") && starts(&endpoints).len() == 2);
+}
