--- a/flamingoscale/src/fleet/limits.rs
+++ b/flamingoscale/src/fleet/limits.rs
@@ -43,7 +43,7 @@
 /// because only an answer shows that its limit has ended.
 const MIN_REQUESTS_PER_1000_S: u64 = 250;
 
-/// Largest limit; a greater one has no effect on any load.
+/// Largest limit; a greater one has no effect on any load that an endpoint can get.
 const MAX_REQUESTS_PER_1000_S: f64 = 1e9;
 
 impl RateLimit {
@@ -131,8 +131,16 @@
     limit: RateLimit,
     /// End of the time whose slots have been dealt, in microseconds of the wall clock.
     dealt_until_us: u64,
-    /// When each unused permit becomes invalid, in milliseconds of the wall clock.
-    expiries_ms: VecDeque<u64>,
+    /// The slots with unused permits, oldest first.
+    slots: VecDeque<Slot>,
+}
+
+/// The unused permits of one slot.
+#[derive(Clone, Copy, Debug)]
+struct Slot {
+    /// When the permits become invalid, in milliseconds of the wall clock.
+    expiry_ms: u64,
+    permits: u64,
 }
 
 impl Permits {
@@ -141,7 +149,7 @@
         Self {
             limit,
             dealt_until_us: wall_ms * 1_000,
-            expiries_ms: VecDeque::new(),
+            slots: VecDeque::new(),
         }
     }
 
@@ -169,22 +177,30 @@
         for slot in first_us / slot_us + 1..=now_us / slot_us {
             if owns(slot) {
                 let expiry_ms = slot * slot_us / 1_000 + lifetime_ms;
-                let permits = (0..self.limit.permits_per_slot()).map(|_| expiry_ms);
-                self.expiries_ms.extend(permits);
+                let permits = self.limit.permits_per_slot();
+                self.slots.push_back(Slot { expiry_ms, permits });
             }
         }
         self.dealt_until_us = now_us.max(self.dealt_until_us);
-        self.expiries_ms.retain(|expiry_ms| *expiry_ms > wall_ms);
+        self.slots.retain(|slot| slot.expiry_ms > wall_ms);
     }
 
     /// Returns the number of unused permits.
     pub fn left(&self) -> u32 {
-        u32::try_from(self.expiries_ms.len()).unwrap_or(u32::MAX)
+        let permits = self.slots.iter().map(|slot| slot.permits).sum::<u64>();
+        u32::try_from(permits).unwrap_or(u32::MAX)
     }
 
     /// Uses the permit that would expire first. Returns whether there was one.
     pub fn take(&mut self) -> bool {
-        self.expiries_ms.pop_front().is_some()
+        let Some(slot) = self.slots.front_mut() else {
+            return false;
+        };
+        slot.permits -= 1;
+        if slot.permits == 0 {
+            self.slots.pop_front();
+        }
+        true
     }
 }
 
