--- a/flamingoscale/src/fleet/choice.rs
+++ b/flamingoscale/src/fleet/choice.rs
@@ -1,6 +1,7 @@
 //! Chooses the endpoint for a direct request, and the delay before a hedged second request.
 
 use super::endpoints::{
+    Endpoint,
     EndpointKey,
     Endpoints, //
 };
@@ -19,19 +20,19 @@
 /// short direct request, takes 25 ms on average.
 const TYPICAL_RESPONSE_MS: f64 = 30.0;
 
-/// Returns the endpoint of a service that is expected to respond first, or `None` if no untried
-/// endpoint accepts work within its request limit.
+/// Returns the endpoint of a service that is expected to respond first, or `None` if no endpoint that
+/// `is_candidate` admits accepts work within its request limit.
 pub fn choose(
     endpoints: &Endpoints,
     service: &str,
     failure_domain: &str,
-    tried: &[EndpointKey],
+    is_candidate: &dyn Fn(EndpointKey, &Endpoint) -> bool,
     now_ms: u64,
 ) -> Option<EndpointKey> {
     endpoints
         .of_service(service)
-        .filter(|(key, endpoint)| endpoint.accepts_work() && !tried.contains(key))
-        .filter(|(_, endpoint)| endpoint.permits_requests(1))
+        .filter(|(_, endpoint)| endpoint.accepts_work() && endpoint.permits_requests(1))
+        .filter(|(key, endpoint)| is_candidate(*key, endpoint))
         .map(|(key, endpoint)| {
             let listing = &endpoint.listing;
             let load = f64::from(endpoint.load(now_ms)) / f64::from(listing.slots.max(1));
--- a/flamingoscale/src/fleet/choice/tests.rs
+++ b/flamingoscale/src/fleet/choice/tests.rs
@@ -8,7 +8,8 @@
 };
 
 fn choose_untried(endpoints: &Endpoints, tried: &[EndpointKey]) -> Option<EndpointKey> {
-    choose(endpoints, "drafting", "saiq", tried, 1_000)
+    let is_untried = |key, _: &Endpoint| !tried.contains(&key);
+    choose(endpoints, "drafting", "saiq", &is_untried, 1_000)
 }
 
 #[test]
--- a/flamingoscale/src/fleet/streams.rs
+++ b/flamingoscale/src/fleet/streams.rs
@@ -10,6 +10,7 @@
     collections::{
         BTreeSet,
         HashMap,
+        HashSet,
         VecDeque, //
     },
     sync::Arc, //
@@ -26,8 +27,6 @@
 struct Stream {
     service: Arc<str>,
     software: Arc<str>,
-    /// Whether all instances have been told.
-    announced: bool,
 }
 
 /// The software of a service's endpoints over time.
@@ -62,6 +61,8 @@
 #[derive(Debug, Default)]
 pub struct Streams {
     streams: HashMap<Arc<str>, Stream>,
+    /// Ids of the streams that the other instances have not been told of.
+    unannounced: HashSet<Arc<str>>,
     /// Ids with the time at which the stream began, in monotonic milliseconds.
     order: VecDeque<(u64, Arc<str>)>,
     services: HashMap<Arc<str>, ServiceSoftware>,
@@ -98,13 +99,14 @@
                 break;
             }
             self.streams.remove(oldest);
+            self.unannounced.remove(oldest);
             self.order.pop_front();
         }
         let stream = Stream {
             service: service.clone(),
             software: software.clone(),
-            announced: false,
         };
+        self.unannounced.insert(id.clone());
         if self.streams.insert(id.clone(), stream).is_none() {
             self.order.push_back((now_ms, id.clone()));
         }
@@ -122,12 +124,14 @@
             return Vec::new();
         }
         let mut due = Vec::new();
-        for (id, stream) in &mut self.streams {
-            if !stream.announced && is_mixed(&stream.service) {
-                stream.announced = true;
-                due.push((id.clone(), stream.software.clone()));
-            }
-        }
+        self.unannounced.retain(|id| {
+            let stream = self
+                .streams
+                .get(id)
+                .filter(|stream| is_mixed(&stream.service));
+            due.extend(stream.map(|stream| (id.clone(), stream.software.clone())));
+            stream.is_none()
+        });
         due
     }
 
