Requests go through another instance while this one reaches no endpoint

Cause: an instance knew one way to an endpoint, its own connection, and took the failure of its own links for failures of each endpoint. Ruled out: dead connections that are used again (responses come within half a second of the end of the cut).

Failed or waiting exchanges now only raise the question; checks on new connections to several endpoints answer it, since streams live on in a cut that refuses new connections. An instance whose checks fail says so in the store, and sends requests through instances that reach endpoints, one attempt each; a first retry or hedged attempt goes that way before the verdict if a check has not been answered in 40 ms. A broken connection counts as a crash only after a check that an endpoint answered.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -23,6 +23,7 @@
 pub mod pacing;
 pub mod reach;
 pub mod record;
+pub mod relays;
 pub mod sampling;
 pub mod scoring;
 pub mod streams;
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -290,12 +290,16 @@
         }
     }
 
+    /// Returns the listed endpoints of all services.
+    pub fn listed(&self) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        let newest = self.by_id.values().map(|key| (*key, self.get(*key)));
+        newest.filter(|(_, endpoint)| !endpoint.delisted)
+    }
+
     /// Returns the ids of the listed endpoints.
     pub fn ids(&self) -> Vec<Arc<str>> {
-        self.by_id
-            .values()
-            .filter(|key| !self.get(**key).delisted)
-            .map(|key| self.get(*key).listing.id.clone())
+        self.listed()
+            .map(|(_, endpoint)| endpoint.listing.id.clone())
             .collect()
     }
 
@@ -314,12 +318,8 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> {
-        self.by_id
-            .values()
-            .map(|key| (*key, self.get(*key)))
-            .filter(move |(_, endpoint)| {
-                !endpoint.delisted && &*endpoint.listing.service == service
-            })
+        self.listed()
+            .filter(move |(_, endpoint)| &*endpoint.listing.service == service)
     }
 
     /// Returns the versions of the software of the listed endpoints of a service.
@@ -378,6 +378,17 @@
         endpoint.backoff_until_ms = now_ms + backoff_ms.min(MAX_BACKOFF_MS);
     }
 
+    /// Forgets the failures of all endpoints. They say nothing of an endpoint if this instance reached
+    /// none.
+    pub fn forget_failures(&mut self) {
+        for endpoint in &mut self.arena {
+            endpoint.failures = 0;
+            endpoint.backoff_until_ms = 0;
+            endpoint.refused_until_ms = 0;
+            endpoint.unreachable = false;
+        }
+    }
+
     /// Records that an order could not be delivered to the endpoint. It gets neither orders nor samples
     /// before the end of the backoff.
     pub fn order_failed(&mut self, key: EndpointKey, now_ms: u64) {
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -80,6 +80,14 @@
 /// The incarnation and the send time of the most recent claim that was read from each instance.
 type LastClaims = HashMap<Arc<str>, (u64, u64)>;
 
+/// What an instance said of its links to the endpoints.
+#[derive(Debug, Default)]
+struct InstanceLinks {
+    incarnation: u64,
+    relay_address: Arc<str>,
+    working: bool,
+}
+
 /// The usage counts of one window of wall-clock time.
 #[derive(Debug, Default)]
 pub struct WindowState {
@@ -111,6 +119,8 @@
     pub assignments: HashMap<Arc<str>, Arc<str>>,
     /// The request limits that instances have announced, by endpoint id.
     pub limits: HashMap<Arc<str>, AnnouncedLimit>,
+    /// What instances said of their links to the endpoints, by name.
+    links: HashMap<Arc<str>, InstanceLinks>,
     /// The services to which scoring calls were sent.
     pub scoring_services: HashSet<Arc<str>>,
     /// The most recent result of each sample, from any batch.
@@ -202,6 +212,21 @@
                 };
                 self.limits.insert(endpoint, announced);
             }
+            Record::Links {
+                instance,
+                incarnation,
+                relay_address,
+                working,
+            } => {
+                let links = self.links.entry(instance).or_default();
+                if links.incarnation <= incarnation {
+                    *links = InstanceLinks {
+                        incarnation,
+                        relay_address,
+                        working,
+                    };
+                }
+            }
             Record::ScoringService { service } => {
                 self.scoring_services.insert(service);
             }
@@ -235,6 +260,25 @@
         )
     }
 
+    /// Returns whether an instance said that it reaches no endpoint.
+    pub fn has_lost_links(&self, instance: &str) -> bool {
+        let links = self.links.get(instance);
+        links.is_some_and(|links| !links.working)
+    }
+
+    /// Returns how many instances said that they reach no endpoint.
+    pub fn lost_links(&self) -> usize {
+        let links = self.links.values();
+        links.filter(|links| !links.working).count()
+    }
+
+    /// Returns the address at which an instance takes requests of others, if it reaches endpoints.
+    pub fn relay_address(&self, instance: &str) -> Option<Arc<str>> {
+        let links = self.links.get(instance)?;
+        let is_usable = links.working && !links.relay_address.is_empty();
+        is_usable.then(|| links.relay_address.clone())
+    }
+
     /// Returns whether a sample still lacks a result and its batch has not ended.
     pub fn is_sample_open(&self, batch: &str, sample: &str) -> bool {
         let state = self.batches.get(batch);
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -469,6 +469,17 @@
         /// When the record was written, in Unix milliseconds.
         written_unix_ms: u64,
     },
+    /// Whether an instance reaches endpoints, and where it takes requests of those that do not.
+    Links {
+        /// Name of the instance.
+        instance: Arc<str>,
+        /// Incarnation of the instance.
+        incarnation: u64,
+        /// Address at which the instance takes requests of other instances; empty if it takes none.
+        relay_address: Arc<str>,
+        /// Whether the instance reaches endpoints.
+        working: bool,
+    },
 }
 
 impl Record {
@@ -588,6 +599,7 @@
             Self::TurnPassed { lease, .. } => format!("a/t/{lease}"),
             Self::ScoringService { service } => format!("a/s/{service}"),
             Self::EndpointLimit { endpoint, .. } => limit_key(endpoint),
+            Self::Links { instance, .. } => format!("a/k/{instance}"),
             Self::StreamBegan { id, .. } => format!("{}{writer}", stream_key_prefix(id)),
         }
     }
