An instance that reaches no endpoint hands its samples and leases to one that does

Cause: a lease said only that its holder reaches the store.

A holder whose checks fail stores the texts so far and releases its leases if any other live instance has not said the same; it starts no sample and sends no order meanwhile. A claim is preceded by a check that an endpoint answers. Instances without links come last in the claim order and wait 4 s longer, so that reports are still sent when nobody reaches an endpoint. Nothing is taken back when the cut ends.

--- a/flamingoscale/src/fleet/histories.rs
+++ b/flamingoscale/src/fleet/histories.rs
@@ -39,6 +39,7 @@
         Candidate,
         LeaseAction,
         LeaseTiming,
+        LinkState,
         LocalLease, //
     },
     ledger::Ledger,
@@ -76,6 +77,8 @@
     AcksLost,
     /// Appends succeed, reads fail.
     ReadsLost,
+    /// The instance reaches the store, but no endpoint. It releases the lease and claims it last.
+    LinksLost,
     /// The wall clock is ahead by this many milliseconds, or behind if the number is negative.
     ClockStepped(i64),
 }
@@ -426,6 +429,10 @@
             started_ms: instance.started_ms,
             caught_up_ms: instance.caught_up_ms,
             connected_since_ms: 0,
+            links: match instance.mode {
+                Mode::LinksLost => LinkState::Lost,
+                _ => LinkState::Confirmed,
+            },
         }
     }
 
@@ -479,7 +486,7 @@
         let lease: Arc<str> = LEASE.into();
         let message = |epoch| candidate.message(&lease, epoch, now_ms);
         match action {
-            LeaseAction::Idle => (),
+            LeaseAction::Idle | LeaseAction::ConfirmLinks => (),
             LeaseAction::Renew { epoch, term } => {
                 let message = message(epoch);
                 self.write(index, Record::Renewal { message, term });
@@ -609,6 +616,13 @@
         if self.instances[index].mode == Mode::Frozen {
             return;
         }
+        self.release_lease(index);
+        self.append_queued(index);
+        self.restart(index);
+    }
+
+    /// Gives up calls in flight and releases the lease if the instance holds it.
+    fn release_lease(&mut self, index: usize) {
         let candidate = self.candidate(index);
         let now_ms = self.lease_clock_ms(index);
         let instance = &mut self.instances[index];
@@ -616,9 +630,7 @@
         if let Some((epoch, term)) = instance.local_lease.release(&instance.ledger, LEASE) {
             let message = candidate.message(&LEASE.into(), epoch, now_ms);
             self.write(index, Record::Release { message, term });
-            self.append_queued(index);
         }
-        self.restart(index);
     }
 
     /// Appends the oldest records of the queue as far as the mode of the instance permits. The real
@@ -689,7 +701,11 @@
         }
         self.continue_calls(index);
         self.act_on_lease(index);
-        self.begin_call(index, round.connect_ms, round.transfer_ms);
+        if mode == Mode::LinksLost {
+            self.release_lease(index);
+        } else {
+            self.begin_call(index, round.connect_ms, round.transfer_ms);
+        }
         self.run_duties(index);
         self.append_queued(index);
         if !matches!(mode, Mode::Partitioned | Mode::ReadsLost) {
@@ -740,6 +756,7 @@
         1 => Just(Mode::Partitioned),
         1 => Just(Mode::AcksLost),
         1 => Just(Mode::ReadsLost),
+        1 => Just(Mode::LinksLost),
         1 => (-4_000..4_000_i64).prop_map(Mode::ClockStepped),
     ];
     let action = prop_oneof![
--- a/flamingoscale/src/fleet/leases.rs
+++ b/flamingoscale/src/fleet/leases.rs
@@ -80,6 +80,10 @@
 /// the same time.
 pub const RANK_DELAY_MS: u64 = 300;
 
+/// Additional delay before an instance that reaches no endpoint claims a lease, so that any other
+/// instance that does may claim it first.
+pub const LOST_LINKS_DELAY_MS: u64 = 4_000;
+
 /// An instance is considered dead when its last heartbeat is older than this: three heartbeat
 /// intervals plus a margin.
 pub const MEMBER_TIMEOUT_MS: u64 = 3_500;
@@ -99,6 +103,20 @@
     pub caught_up_ms: u64,
     /// When reads and appends of the instance last began to succeed, in monotonic milliseconds.
     pub connected_since_ms: u64,
+    /// Whether the instance reaches endpoints, without which no lease is of use.
+    pub links: LinkState,
+}
+
+/// What an instance knows of its links to the endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LinkState {
+    /// An endpoint has answered recently.
+    Confirmed,
+    /// No endpoint has been asked recently.
+    #[default]
+    Unconfirmed,
+    /// No endpoint can be reached.
+    Lost,
 }
 
 impl Candidate {
@@ -119,9 +137,9 @@
 ///
 /// Instances with more CPU come first, because the holder of a model's lease reads the events of
 /// the model's samples, several hundred a second. A hash orders instances of equal size differently
-/// for each lease.
+/// for each lease. Instances that reach no endpoint come last.
 pub fn claim_order(ledger: &Ledger, lease: &str, now_ms: u64) -> Vec<Arc<str>> {
-    let mut members: Vec<(Reverse<u32>, u64, Arc<str>)> = ledger
+    let mut members: Vec<(bool, Reverse<u32>, u64, Arc<str>)> = ledger
         .members
         .values()
         .filter(|member| now_ms.saturating_sub(member.seen_ms) < MEMBER_TIMEOUT_MS)
@@ -129,11 +147,12 @@
         .map(|member| {
             let name = &member.heartbeat.instance;
             let hash = xxh3_64(format!("{lease}\n{name}").as_bytes());
-            (Reverse(member.heartbeat.millicores), hash, name.clone())
+            let millicores = Reverse(member.heartbeat.millicores);
+            (ledger.has_lost_links(name), millicores, hash, name.clone())
         })
         .collect();
     members.sort();
-    members.into_iter().map(|(_, _, name)| name).collect()
+    members.into_iter().map(|(_, _, _, name)| name).collect()
 }
 
 /// Returns the epoch to claim the lease with, or `None` if the instance should not claim it now.
@@ -147,7 +166,9 @@
     now_ms: u64,
 ) -> Option<u64> {
     let current = ledger.leases.get(lease);
-    if let Some(state) = current.filter(|state| state.last_message.holder == candidate.instance) {
+    let has_lost_links = candidate.links == LinkState::Lost;
+    let own_state = current.filter(|state| state.last_message.holder == candidate.instance);
+    if let Some(state) = own_state.filter(|_| !has_lost_links) {
         // The previous incarnation of this instance has ended. A claim that it had in flight was
         // read before the first record of this incarnation, or never takes effect.
         if state.last_message.incarnation < candidate.incarnation {
@@ -162,6 +183,12 @@
         None => startup_end_ms + FIRST_CLAIM_DELAY_MS,
         Some(state) => startup_end_ms.max(vacant_from_ms(ledger, state, timing, candidate)),
     };
+    let due_ms = due_ms
+        + if has_lost_links {
+            LOST_LINKS_DELAY_MS
+        } else {
+            0
+        };
     if now_ms < due_ms {
         return None;
     }
@@ -214,6 +241,8 @@
         /// Epoch of the claim.
         epoch: u64,
     },
+    /// Make sure that the instance reaches endpoints, because a claim is due.
+    ConfirmLinks,
     /// Append [`Record::TurnPassed`](super::record::Record::TurnPassed).
     RecordTurn {
         /// Fencing number of the lease.
@@ -306,6 +335,9 @@
         }
         let epoch = claim_epoch(ledger, lease, timing, candidate, now_ms);
         epoch.map_or(LeaseAction::Idle, |epoch| {
+            if candidate.links == LinkState::Unconfirmed {
+                return LeaseAction::ConfirmLinks;
+            }
             self.claim_sent_ms = Some(now_ms);
             LeaseAction::Claim { epoch }
         })
--- a/flamingoscale/src/fleet/leases/tests.rs
+++ b/flamingoscale/src/fleet/leases/tests.rs
@@ -30,6 +30,7 @@
         started_ms: 0,
         caught_up_ms: 0,
         connected_since_ms: 0,
+        links: LinkState::Confirmed,
     }
 }
 
@@ -107,6 +108,7 @@
         started_ms: 99_000,
         caught_up_ms: 100_000,
         connected_since_ms: 0,
+        links: LinkState::Confirmed,
     };
     // A claim of the previous incarnation may still be in flight.
     assert_eq!(
@@ -209,6 +211,7 @@
     for other in ["n2", "n3"] {
         let other = Candidate {
             connected_since_ms: reconnected_ms,
+            links: LinkState::Confirmed,
             ..candidate(other)
         };
         let claim_at = |now_ms| claim_epoch(&ledger, LEASE, SAMPLING_TIMING, &other, now_ms);
@@ -279,6 +282,7 @@
         started_ms: 0,
         caught_up_ms: 1_000,
         connected_since_ms: 0,
+        links: LinkState::Confirmed,
     };
     let claimed_ms = (1_000..9_000)
         .find(|now_ms| claim_epoch(&ledger, LEASE, SAMPLING_TIMING, &candidate, *now_ms).is_some());
@@ -450,3 +454,61 @@
     let turn_end_ms = 110_000 + TIMING.lease_ms + TIMING.guard_ms + TIMING.turn_ms;
     assert_eq!(recorded, Some((turn_end_ms, 21)));
 }
+
+fn links(instance: &str, working: bool) -> Record {
+    Record::Links {
+        instance: instance.into(),
+        incarnation: 1,
+        relay_address: "".into(),
+        working,
+    }
+}
+
+#[test]
+fn instance_that_reaches_no_endpoint_claims_after_those_that_do() {
+    let mut ledger = ledger(&["a", "b", "c"], 0);
+    let order = claim_order(&ledger, LEASE, 0);
+    ledger.apply(20, links(&order[0], false), 0);
+    let new_order = claim_order(&ledger, LEASE, 0);
+    assert_eq!(
+        new_order[..],
+        [order[1].clone(), order[2].clone(), order[0].clone()]
+    );
+    hold_lease(&mut ledger, "d", 0);
+    let mut first_claim = |instance: &str, links| {
+        let candidate = Candidate {
+            links,
+            ..candidate(instance)
+        };
+        (0..10_000).find(|now_ms| {
+            if now_ms % 1_000 == 0 {
+                for name in &order {
+                    ledger.apply(30, heartbeat(name, 1), *now_ms);
+                }
+            }
+            claim_epoch(&ledger, LEASE, SAMPLING_TIMING, &candidate, *now_ms).is_some()
+        })
+    };
+    let reaching_ms = first_claim(&order[1], LinkState::Confirmed).unwrap();
+    let lost_ms = first_claim(&order[0], LinkState::Lost).unwrap();
+    assert!(lost_ms >= reaching_ms + LOST_LINKS_DELAY_MS);
+}
+
+#[test]
+fn links_are_confirmed_before_a_claim() {
+    let ledger = ledger(&["a"], 0);
+    let mut lease = LocalLease::default();
+    let mut unconfirmed = candidate("a");
+    unconfirmed.links = LinkState::Unconfirmed;
+    let first_action = |lease: &mut LocalLease, candidate: &Candidate, from_ms: u64| {
+        (from_ms..9_000).find_map(|now_ms| {
+            let now = (true, now_ms);
+            let action = lease.next_action(&ledger, LEASE, SAMPLING_TIMING, candidate, now);
+            (action != LeaseAction::Idle).then_some((now_ms, action))
+        })
+    };
+    let (due_ms, action) = first_action(&mut lease, &unconfirmed, 0).unwrap();
+    assert_eq!(action, LeaseAction::ConfirmLinks);
+    let claim = first_action(&mut lease, &candidate("a"), due_ms + 3).unwrap();
+    assert_eq!(claim, (due_ms + 3, LeaseAction::Claim { epoch: 1 }));
+}
