Slots of request limits go to the instances that reach endpoints

Test: instances_without_links_leave_their_slots_to_the_others (failed before: three owners instead of one).

--- a/flamingoscale/src/fleet/limits.rs
+++ b/flamingoscale/src/fleet/limits.rs
@@ -224,13 +224,16 @@
 impl Shares {
     /// Returns the shares of a service: a part for the callers, if a route of theirs leads to it, and
     /// a part for each model whose samples it runs or scores. Models without an unfinished batch have
-    /// no part while others have one.
+    /// no part while others have one. Instances that reach no endpoint have no slots while others do.
     pub fn of(
         ledger: &Ledger,
         configuration: &Configuration,
         service: &str,
-        instances: Vec<Arc<str>>,
+        mut instances: Vec<Arc<str>>,
     ) -> Self {
+        if instances.iter().any(|name| !ledger.has_lost_links(name)) {
+            instances.retain(|name| !ledger.has_lost_links(name));
+        }
         let has_callers = configuration.routes.iter().any(|route| {
             let mut services = route.services.iter();
             route.kind != RouteKind::Rollout
--- a/flamingoscale/src/fleet/limits/tests.rs
+++ b/flamingoscale/src/fleet/limits/tests.rs
@@ -261,3 +261,28 @@
     let ended = Record::BatchEnded { batch: "b1".into() };
     assert_eq!(owners(vec![notes, ended]), names(&["front-1", "front-2"]));
 }
+
+#[test]
+fn instances_without_links_leave_their_slots_to_the_others() {
+    let names = ["front-1", "front-2", "front-3"];
+    let owners = |lost: &[&str]| {
+        let links = lost.iter().map(|instance| Record::Links {
+            instance: (*instance).into(),
+            incarnation: 1,
+            relay_address: "".into(),
+            working: false,
+        });
+        let instances = names.map(Arc::from).to_vec();
+        let (ledger, configuration) = (ledger_of(links), Configuration::default());
+        let shares = Shares::of(&ledger, &configuration, "drafting", instances);
+        let slots = 0..1_000;
+        let owners = slots.filter_map(|slot| shares.owner("e1", slot).map(ToString::to_string));
+        owners.collect::<BTreeSet<_>>()
+    };
+    assert_eq!(owners(&[]).len(), 3);
+    assert_eq!(
+        owners(&["front-1", "front-3"]),
+        BTreeSet::from(["front-2".to_owned()])
+    );
+    assert_eq!(owners(&names).len(), 3);
+}
