What an endpoint says of itself is told to all instances by one record

Cause: two mechanisms for what an endpoint says in its responses. A request limit was announced to all instances, the notice of leaving stayed where it was heard.

Both are one statement now, with one record and one way to adopt it; a notice holds for one start and survives later announcements of a limit.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -26,6 +26,7 @@
 pub mod relays;
 pub mod sampling;
 pub mod scoring;
+pub mod statements;
 pub mod streams;
 pub mod texts;
 pub mod usage;
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -10,11 +10,14 @@
 
 use super::{
     limits::{
-        AnnouncedLimit,
         Permits,
         RateLimit, //
     },
-    migration::Pace, //
+    migration::Pace,
+    statements::{
+        Announced,
+        Statement, //
+    }, //
 };
 
 /// Index of an endpoint in [`Endpoints`]. Indices are never reused.
@@ -57,8 +60,8 @@
     pub permits: Option<Permits>,
     /// When this instance last heard whether the endpoint names a limit, in monotonic milliseconds.
     pub limit_known_ms: u64,
-    /// When this instance last told the others of the limit, in monotonic milliseconds.
-    pub limit_announced_ms: u64,
+    /// When this instance last told the others what the endpoint says, in monotonic milliseconds.
+    pub announced_ms: u64,
     /// Requests of this instance in flight at the endpoint.
     pub in_flight: u32,
     /// Requests that the endpoint reported as running or waiting, excluding those of this instance.
@@ -111,7 +114,7 @@
 /// Load reports older than this are ignored.
 const MAX_REPORT_AGE_MS: u64 = 500;
 
-/// Interval between two announcements of an endpoint's request limit by one instance.
+/// Interval between two announcements of what an endpoint says by one instance.
 const ANNOUNCEMENT_INTERVAL_MS: u64 = 1_000;
 
 impl Endpoint {
@@ -121,6 +124,14 @@
         !self.delisted && !self.listing.draining && self.notice != LeavingNotice::Leaving
     }
 
+    /// Returns what the endpoint says of itself, as far as this instance knows.
+    pub fn statement(&self) -> Statement {
+        Statement {
+            limit: self.permits.as_ref().map(Permits::limit),
+            leaving: self.notice == LeavingNotice::Leaving,
+        }
+    }
+
     /// Returns whether this instance may send `requests` more requests within the endpoint's limit.
     pub fn permits_requests(&self, requests: u32) -> bool {
         let permits = self.permits.as_ref();
@@ -181,7 +192,7 @@
             notice,
             permits: None,
             limit_known_ms: 0,
-            limit_announced_ms: 0,
+            announced_ms: 0,
             in_flight: 0,
             other_load: 0,
             load_reported_ms: 0,
@@ -237,10 +248,10 @@
         }
     }
 
-    /// Records that this instance tells the others of the endpoint's limit. Returns whether it may: it
+    /// Records that this instance tells the others what the endpoint says. Returns whether it may: it
     /// has not done so within the last second, in which its record is read back.
-    pub fn announce_limit(&mut self, key: EndpointKey, now_ms: u64) -> bool {
-        let announced_ms = &mut self.arena[key.0 as usize].limit_announced_ms;
+    pub fn announce(&mut self, key: EndpointKey, now_ms: u64) -> bool {
+        let announced_ms = &mut self.arena[key.0 as usize].announced_ms;
         let is_due = now_ms.saturating_sub(*announced_ms) >= ANNOUNCEMENT_INTERVAL_MS;
         if is_due {
             *announced_ms = now_ms;
@@ -248,17 +259,23 @@
         is_due
     }
 
-    /// Applies the limits that other instances have announced, unless this instance has heard from
-    /// the endpoint since.
-    pub fn adopt_limits(&mut self, announced: &HashMap<Arc<str>, AnnouncedLimit>, wall_ms: u64) {
+    /// Applies what other instances have announced. A limit is not applied if this instance has heard
+    /// from the endpoint since.
+    pub fn adopt_statements(&mut self, announced: &HashMap<Arc<str>, Announced>, wall_ms: u64) {
         for (id, announced) in announced {
             let Some(key) = self.find(id) else {
                 continue;
             };
             let endpoint = self.get(key);
-            let same_start = endpoint.listing.started_unix_ms == announced.started_unix_ms;
-            if same_start && endpoint.limit_known_ms < announced.seen_ms {
-                self.limit_heard(key, announced.limit, announced.seen_ms, wall_ms);
+            if endpoint.listing.started_unix_ms != announced.started_unix_ms {
+                continue;
+            }
+            let Statement { limit, leaving } = announced.statement;
+            if endpoint.limit_known_ms < announced.seen_ms {
+                self.limit_heard(key, limit, announced.seen_ms, wall_ms);
+            }
+            if leaving {
+                self.notice_received(key, LeavingNotice::Leaving);
             }
         }
     }
--- a/flamingoscale/src/fleet/endpoints/tests.rs
+++ b/flamingoscale/src/fleet/endpoints/tests.rs
@@ -207,28 +207,66 @@
 fn announced_limit_holds_until_a_later_answer_or_a_restart() {
     let limit = RateLimit::parse("2");
     let announced = |limit, seen_ms| {
-        let announced = AnnouncedLimit {
-            started_unix_ms: 1,
+        let statement = Statement {
             limit,
+            leaving: false,
+        };
+        let announced = Announced {
+            started_unix_ms: 1,
+            statement,
             seen_ms,
         };
         HashMap::from([("e1".into(), announced)])
     };
     let mut endpoints = endpoints(&[listing("e1", "saiq", 1)]);
     let key = endpoints.find("e1").unwrap();
-    endpoints.adopt_limits(&announced(limit, 1_000), 0);
+    endpoints.adopt_statements(&announced(limit, 1_000), 0);
     assert!(!endpoints.get(key).permits_requests(1));
     endpoints.limit_heard(key, None, 2_000, 0);
-    endpoints.adopt_limits(&announced(limit, 1_500), 0);
+    endpoints.adopt_statements(&announced(limit, 1_500), 0);
     assert!(endpoints.get(key).permits_requests(1));
-    endpoints.adopt_limits(&announced(limit, 2_500), 0);
+    endpoints.adopt_statements(&announced(limit, 2_500), 0);
     assert!(!endpoints.get(key).permits_requests(1));
-    endpoints.adopt_limits(&announced(None, 3_000), 0);
+    endpoints.adopt_statements(&announced(None, 3_000), 0);
     assert!(endpoints.get(key).permits_requests(1));
     let mut restarted = listing("e1", "saiq", 1);
     restarted.started_unix_ms = 2;
     endpoints.update(restarted);
-    endpoints.adopt_limits(&announced(limit, 4_000), 0);
+    endpoints.adopt_statements(&announced(limit, 4_000), 0);
     let key = endpoints.find("e1").unwrap();
     assert!(endpoints.get(key).permits_requests(1));
 }
+
+#[test]
+fn announced_notice_holds_for_one_start() {
+    let announced = Announced {
+        started_unix_ms: 1,
+        statement: Statement {
+            limit: None,
+            leaving: true,
+        },
+        seen_ms: 1_000,
+    };
+    let limit_only = Announced {
+        statement: Statement {
+            limit: RateLimit::parse("2"),
+            leaving: false,
+        },
+        ..announced
+    };
+    let both = announced.followed_by(limit_only);
+    assert_eq!(both.statement.limit, RateLimit::parse("2"));
+    assert!(both.statement.leaving);
+    let mut endpoints = endpoints(&[listing("e1", "saiq", 1)]);
+    let key = endpoints.find("e1").unwrap();
+    // Another response that names no limit does not take the notice back.
+    endpoints.limit_heard(key, None, 2_000, 0);
+    endpoints.adopt_statements(&HashMap::from([("e1".into(), both)]), 0);
+    assert!(!endpoints.get(key).accepts_work());
+    let mut restarted = listing("e1", "saiq", 1);
+    restarted.started_unix_ms = 2;
+    endpoints.update(restarted);
+    endpoints.adopt_statements(&HashMap::from([("e1".into(), both)]), 0);
+    let key = endpoints.find("e1").unwrap();
+    assert!(endpoints.get(key).accepts_work());
+}
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -23,7 +23,6 @@
     ResultList, //
 };
 use super::{
-    limits::AnnouncedLimit,
     record::{
         batch_partition,
         BatchSummary,
@@ -33,6 +32,10 @@
         Record,
         Removed,
         SampleResult, //
+    },
+    statements::{
+        Announced,
+        Statement, //
     }, //
 };
 
@@ -117,8 +120,8 @@
     pub suspects: HashMap<u64, u32>,
     /// The model that each engine primarily serves, by endpoint id.
     pub assignments: HashMap<Arc<str>, Arc<str>>,
-    /// The request limits that instances have announced, by endpoint id.
-    pub limits: HashMap<Arc<str>, AnnouncedLimit>,
+    /// What instances have announced that endpoints say of themselves, by endpoint id.
+    pub statements: HashMap<Arc<str>, Announced>,
     /// What instances said of their links to the endpoints, by name.
     links: HashMap<Arc<str>, InstanceLinks>,
     /// The services to which scoring calls were sent.
@@ -205,13 +208,17 @@
                 started_unix_ms,
                 limit,
             } => {
-                let announced = AnnouncedLimit {
-                    started_unix_ms,
+                let statement = Statement {
                     limit,
-                    seen_ms: now_ms,
+                    leaving: false,
                 };
-                self.limits.insert(endpoint, announced);
+                self.apply_statement(endpoint, started_unix_ms, statement, now_ms);
             }
+            Record::EndpointStatement {
+                endpoint,
+                started_unix_ms,
+                statement,
+            } => self.apply_statement(endpoint, started_unix_ms, statement, now_ms),
             Record::Links {
                 instance,
                 incarnation,
@@ -350,7 +357,7 @@
     pub fn remove(&mut self, removed: Removed<'_>) {
         match removed {
             Removed::Window(window) => drop(self.windows.remove(&window)),
-            Removed::Limit(endpoint) => drop(self.limits.remove(endpoint)),
+            Removed::Statement(endpoint) => drop(self.statements.remove(endpoint)),
             Removed::Batch(batch) => {
                 self.registered.remove(batch);
                 self.ended.remove(batch);
@@ -383,6 +390,23 @@
         self.ended.insert(batch);
     }
 
+    fn apply_statement(
+        &mut self,
+        endpoint: Arc<str>,
+        started_unix_ms: u64,
+        statement: Statement,
+        now_ms: u64,
+    ) {
+        let announced = Announced {
+            started_unix_ms,
+            statement,
+            seen_ms: now_ms,
+        };
+        let current = self.statements.get(&endpoint);
+        let next = current.map_or(announced, |current| current.followed_by(announced));
+        self.statements.insert(endpoint, next);
+    }
+
     /// Applies a heartbeat, from the fleet topic or from the cell of this instance.
     pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) {
         let is_older = self
--- a/flamingoscale/src/fleet/limits.rs
+++ b/flamingoscale/src/fleet/limits.rs
@@ -90,28 +90,6 @@
     }
 }
 
-/// What an instance has told the others about the request limit of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AnnouncedLimit {
-    /// Start time of the endpoint in Unix milliseconds; a limit holds for one start.
-    pub started_unix_ms: u64,
-    /// The limit, or `None` if the endpoint no longer names one.
-    pub limit: Option<RateLimit>,
-    /// When this instance read the announcement, in monotonic milliseconds.
-    pub seen_ms: u64,
-}
-
-impl AnnouncedLimit {
-    /// Returns whether the announcement says what an endpoint with this start names now.
-    pub fn says(&self, started_unix_ms: u64, limit: Option<RateLimit>) -> bool {
-        let same_limit = match (self.limit, limit) {
-            (Some(announced), Some(limit)) => announced.is_close_to(limit),
-            (announced, limit) => announced == limit,
-        };
-        self.started_unix_ms == started_unix_ms && same_limit
-    }
-}
-
 /// Limits that differ by less than the first one divided by this are close.
 const CLOSE_LIMITS_DIVISOR: u64 = 10;
 
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -16,6 +16,7 @@
 
 use super::{
     limits::RateLimit,
+    statements::Statement,
     texts::TextLocation, //
 };
 
@@ -451,7 +452,8 @@
         /// Name of the service.
         service: Arc<str>,
     },
-    /// An endpoint names another request limit than before, or none any more.
+    /// Replaced by [`Record::EndpointStatement`] and no longer written. It keeps its place, because the
+    /// encoding numbers the variants.
     EndpointLimit {
         /// Id of the endpoint.
         endpoint: Arc<str>,
@@ -480,6 +482,15 @@
         /// Whether the instance reaches endpoints.
         working: bool,
     },
+    /// An endpoint says something else of itself than before.
+    EndpointStatement {
+        /// Id of the endpoint.
+        endpoint: Arc<str>,
+        /// Start time of the endpoint in Unix milliseconds.
+        started_unix_ms: u64,
+        /// What the endpoint says.
+        statement: Statement,
+    },
 }
 
 impl Record {
@@ -598,7 +609,9 @@
             Self::ModelAssignment { .. } => "a/p".to_owned(),
             Self::TurnPassed { lease, .. } => format!("a/t/{lease}"),
             Self::ScoringService { service } => format!("a/s/{service}"),
-            Self::EndpointLimit { endpoint, .. } => limit_key(endpoint),
+            Self::EndpointLimit { endpoint, .. } | Self::EndpointStatement { endpoint, .. } => {
+                statement_key(endpoint)
+            }
             Self::Links { instance, .. } => format!("a/k/{instance}"),
             Self::StreamBegan { id, .. } => format!("{}{writer}", stream_key_prefix(id)),
         }
@@ -666,9 +679,9 @@
     u32::try_from(xxh3_64(id.as_bytes()) % u64::from(STREAM_PARTITIONS)).unwrap_or(0)
 }
 
-/// Returns the key of the [`Record::EndpointLimit`] record of an endpoint.
-pub fn limit_key(endpoint: &str) -> String {
-    format!("{LIMIT_KEY_PREFIX}{endpoint}")
+/// Returns the key of the [`Record::EndpointStatement`] record of an endpoint.
+pub fn statement_key(endpoint: &str) -> String {
+    format!("{STATEMENT_KEY_PREFIX}{endpoint}")
 }
 
 /// Returns the key of the [`Record::BatchEnded`] record of a batch.
@@ -686,7 +699,7 @@
 
 const REGISTERED_KEY_PREFIX: &str = "a/o/";
 const REPORTED_KEY_PREFIX: &str = "a/d/";
-const LIMIT_KEY_PREFIX: &str = "a/n/";
+const STATEMENT_KEY_PREFIX: &str = "a/n/";
 
 /// The state that becomes obsolete when a record is removed from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -695,8 +708,8 @@
     Batch(&'a str),
     /// All state of the usage window with this number.
     Window(u64),
-    /// The request limit of the endpoint with this id.
-    Limit(&'a str),
+    /// What the endpoint with this id says of itself.
+    Statement(&'a str),
 }
 
 impl<'a> Removed<'a> {
@@ -705,8 +718,8 @@
         if let Some(window) = key.strip_prefix(REPORTED_KEY_PREFIX) {
             return window.parse().ok().map(Self::Window);
         }
-        if let Some(endpoint) = key.strip_prefix(LIMIT_KEY_PREFIX) {
-            return Some(Self::Limit(endpoint));
+        if let Some(endpoint) = key.strip_prefix(STATEMENT_KEY_PREFIX) {
+            return Some(Self::Statement(endpoint));
         }
         // The batch id is followed by the writer's name, its incarnation and the serial number.
         let rest = key.strip_prefix(REGISTERED_KEY_PREFIX)?;
