A status read that began before a connection broke says nothing of the crash

Found while a failing test was traced (KNOWN-RED.txt, a request that crashes engines): an answer of an endpoint's status read that began before its crash and came afterwards cleared the list of broken requests, so the crash was counted against nobody; one that came after the restart was noticed looked like another restart. Reads now carry what was known when they began, and such answers are ignored. status_read_that_began_before_a_connection_broke_does_not_hide_the_crash failed before.

--- a/flamingoscale/src/fuzz/traffic.rs
+++ b/flamingoscale/src/fuzz/traffic.rs
@@ -364,9 +364,9 @@
                 self.observed_leaving.remove(&(home, endpoint));
             }
             let key = EndpointKey(endpoint);
-            let read_epoch = self.homes[home].epoch(key);
+            let begun = self.homes[home].begin_read(key);
             let status = (!failed).then_some(status);
-            let actions = self.homes[home].status_read(key, read_epoch, status, self.now_ms);
+            let actions = self.homes[home].status_read(key, begun, status, self.now_ms);
             self.handle_actions(home, actions);
         }
     }
--- a/flamingoscale/src/home/admission.rs
+++ b/flamingoscale/src/home/admission.rs
@@ -167,11 +167,11 @@
         endpoint: EndpointKey,
         read: impl Future<Output = Option<EndpointStatus>>,
     ) -> bool {
-        let epoch = self.with_inner(|inner| (inner.table.epoch(endpoint), Vec::new()));
+        let begun = self.with_inner(|inner| (inner.table.begin_read(endpoint), Vec::new()));
         let status = read.await;
         let succeeded = status.is_some();
         let now_ms = self.instance.now_ms();
-        self.with_inner(|inner| ((), inner.table.status_read(endpoint, epoch, status, now_ms)));
+        self.with_inner(|inner| ((), inner.table.status_read(endpoint, begun, status, now_ms)));
         succeeded
     }
 
--- a/flamingoscale/src/home/endpoint.rs
+++ b/flamingoscale/src/home/endpoint.rs
@@ -16,6 +16,7 @@
             AdmissionDecision,
             AdmissionRequest,
             EndpointTarget,
+            ReadBegin,
             RequestUsage,
             Ticket, //
         }, //
@@ -67,6 +68,8 @@
     pub(super) paused: bool,
     pub(super) version_known: bool,
     pub(super) epoch: u64,
+    /// Number of connections that broke, and of restarts that were noticed.
+    pub(super) breaks: u64,
     pub(super) running: HashMap<Ticket, AdmissionRequest>,
     /// The running exclusive request ([`AdmissionRequest::exclusive`]), if there is one.
     pub(super) running_exclusive: Option<Ticket>,
@@ -91,6 +94,7 @@
             paused: false,
             version_known: false,
             epoch: 0,
+            breaks: 0,
             running: HashMap::new(),
             running_exclusive: None,
             queue: FairQueue::default(),
@@ -269,12 +273,24 @@
         self.queue.pop(interactive_only).map(|(ticket, _)| ticket)
     }
 
+    pub(super) fn begin_read(&self) -> ReadBegin {
+        ReadBegin {
+            epoch: self.epoch,
+            breaks: self.breaks,
+        }
+    }
+
+    /// Handles the status that a read returned. One whose read began before a connection broke or a
+    /// restart was noticed may show the endpoint as it was before, so it is ignored.
     pub(super) fn on_status(
         &mut self,
-        read_epoch: u64,
+        begun: ReadBegin,
         status: EndpointStatus,
         actions: &mut Vec<Action>,
     ) {
+        if begun.breaks != self.breaks {
+            return;
+        }
         self.failed_reads = 0;
         let epoch = self.epoch;
         let previous = self.status.as_ref();
@@ -284,12 +300,13 @@
             self.epoch += 1;
         }
         if restarted {
+            self.breaks += 1;
             self.crashed(actions);
         }
         self.broken_fingerprints.clear();
         self.reported_fingerprints.clear();
         // A status read that began before a pause ended may still show the previous weights.
-        self.version_known |= read_epoch == epoch;
+        self.version_known |= begun.epoch == epoch;
         self.status = Some(status);
     }
 
--- a/flamingoscale/src/home/table.rs
+++ b/flamingoscale/src/home/table.rs
@@ -82,6 +82,16 @@
     pub epoch: u64,
 }
 
+/// What was known of an endpoint when a read of its status began. Answers of reads may be late and
+/// may overtake each other.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReadBegin {
+    /// Number of pauses, resumes, weight swaps and restarts before the read.
+    pub(super) epoch: u64,
+    /// Number of broken connections and restarts before the read.
+    pub(super) breaks: u64,
+}
+
 /// Identity and configuration of an endpoint that is at home on this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointTarget {
@@ -241,16 +251,17 @@
         })
     }
 
-    /// Epoch to pass to [`Self::status_read`] with a status read that starts now.
-    pub fn epoch(&self, endpoint: EndpointKey) -> u64 {
-        self.entries.get(&endpoint).map_or(0, |entry| entry.epoch)
+    /// Returns what to pass to [`Self::status_read`] with a status read that starts now.
+    pub fn begin_read(&self, endpoint: EndpointKey) -> ReadBegin {
+        let entry = self.entries.get(&endpoint);
+        entry.map_or_else(ReadBegin::default, |entry| entry.begin_read())
     }
 
-    /// Records the result of a status read that began in epoch `read_epoch`; `None` if it failed.
+    /// Records the result of a status read; `None` if it failed.
     pub fn status_read(
         &mut self,
         endpoint: EndpointKey,
-        read_epoch: u64,
+        begun: ReadBegin,
         status: Option<EndpointStatus>,
         now_ms: u64,
     ) -> Vec<Action> {
@@ -259,7 +270,7 @@
             return actions;
         };
         match status {
-            Some(status) => entry.on_status(read_epoch, status, &mut actions),
+            Some(status) => entry.on_status(begun, status, &mut actions),
             None => entry.on_status_failure(&mut actions),
         }
         entry.refuse_if_closed(&mut actions);
@@ -302,6 +313,7 @@
         if let Some(entry) = self.entries.get_mut(&endpoint) {
             if let Some(request) = entry.running.get(&ticket) {
                 entry.broken_fingerprints.push(request.fingerprint);
+                entry.breaks += 1;
             }
         }
     }
--- a/flamingoscale/src/home/table/tests.rs
+++ b/flamingoscale/src/home/table/tests.rs
@@ -31,8 +31,8 @@
 }
 
 fn read(table: &mut HomeTable, status: Option<EndpointStatus>, now_ms: u64) -> Vec<Action> {
-    let read_epoch = table.epoch(KEY);
-    table.status_read(KEY, read_epoch, status, now_ms)
+    let begun = table.begin_read(KEY);
+    table.status_read(KEY, begun, status, now_ms)
 }
 
 fn request(ticket: u64) -> AdmissionRequest {
@@ -183,6 +183,26 @@
     assert_eq!(read(&mut table, Some(status(7, 2)), 6), []);
 }
 
+#[test]
+fn status_read_that_began_before_a_connection_broke_does_not_hide_the_crash() {
+    let mut table = table(4);
+    read(&mut table, Some(status(7, 1)), 0);
+    table.admit(KEY, request(1), 0);
+    let late_read = table.begin_read(KEY);
+    table.connection_broke(KEY, Ticket(1));
+    table.release(KEY, Ticket(1), None, 1);
+    table.status_read(KEY, late_read, Some(status(7, 1)), 5);
+    let crashed = Action::Crashed {
+        endpoint: KEY,
+        fingerprints: vec![1],
+    };
+    assert_eq!(read(&mut table, Some(status(7, 2)), 6), [crashed]);
+    // Nor does it accuse what runs after the restart.
+    table.admit(KEY, request(2), 7);
+    assert_eq!(table.status_read(KEY, late_read, Some(status(7, 1)), 8), []);
+    assert_eq!(read(&mut table, Some(status(7, 2)), 9), []);
+}
+
 #[test]
 fn endpoint_that_moves_to_another_home_keeps_its_running_requests() {
     let mut table = table(1);
