Crashes that two homes see at the same time add up

Cause: each home told the others its total, and of two totals the greater was kept, so the crashes that two homes saw at the same time counted as one; and nobody waited for the reports, although the design says that every instance knows before the entry does.

Instances report the crashes that they saw themselves, the sum decides, and the home waits for the answers, 250 ms at most.

--- a/flamingoscale/src/dispatch/dispatcher.rs
+++ b/flamingoscale/src/dispatch/dispatcher.rs
@@ -14,6 +14,14 @@
 };
 
 use arc_swap::ArcSwap;
+use futures::{
+    future::{
+        join_all,
+        BoxFuture,
+        Shared, //
+    },
+    FutureExt as _, //
+};
 
 use crate::{
     dispatch::{
@@ -57,6 +65,12 @@
 /// Interval at which routes are refreshed and due status requests are sent.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time that a request waits for members to learn of the crash that it met.
+const CRASH_REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// A message on its way to one member; it ends with the member's answer.
+type Notification = Shared<BoxFuture<'static, ()>>;
+
 /// Runs work: as the entry for callers and trainers, and as the home of endpoints.
 pub struct Dispatcher {
     pub(crate) instance: Arc<Instance>,
@@ -65,6 +79,8 @@
     pub(crate) owners: Arc<KeyReplicator>,
     pub(crate) lending: Arc<Lending>,
     retry_budget: Mutex<RetryBudget>,
+    /// Reports of crashes that members may not have answered yet.
+    crash_reports: Mutex<Vec<Notification>>,
     routes: ArcSwap<RouteTable>,
     build_lock: Mutex<()>,
     pub(crate) weak_self: Weak<Dispatcher>,
@@ -87,6 +103,7 @@
                 lending: Lending::new(instance.clone()),
                 instance,
                 retry_budget: Mutex::default(),
+                crash_reports: Mutex::default(),
                 routes: ArcSwap::default(),
                 build_lock: Mutex::default(),
                 weak_self: weak_self.clone(),
@@ -126,15 +143,15 @@
     }
 
     /// Checks whether an endpoint whose connection broke has crashed, so that the requests that it
-    /// ran become suspect before they are sent again. The status is read up to twice, the second
-    /// time over a new connection.
+    /// ran become suspect at all members before they are sent again. The status is read up to twice,
+    /// the second time over a new connection.
     pub(crate) async fn check_for_crash(&self, key: EndpointKey, address: &str) {
-        for _ in 0..2 {
-            if self.read_status(key, address).await {
-                return;
-            }
+        if !self.read_status(key, address).await && !self.read_status(key, address).await {
+            self.admission.mark_unreachable(key);
         }
-        self.admission.mark_unreachable(key);
+        let reports = self.lock_crash_reports().clone();
+        // A member that does not answer must not hold the request up.
+        let _ = tokio::time::timeout(CRASH_REPORT_TIMEOUT, join_all(reports)).await;
     }
 
     /// Clears a suspect request that ran alone without a crash, here and at all members.
@@ -172,7 +189,18 @@
             gateway::Message::ReportCrash {
                 fingerprint,
                 crashes,
-            } => self.quarantine.merge(fingerprint, crashes, now_ms),
+            } => {
+                let earlier_release = "".into();
+                let table = &self.quarantine;
+                table.merge(fingerprint, &earlier_release, crashes, now_ms);
+            }
+            gateway::Message::CrashesSeen {
+                fingerprint,
+                instance,
+                crashes,
+            } => self
+                .quarantine
+                .merge(fingerprint, &instance, crashes, now_ms),
             gateway::Message::ClearSuspicion { fingerprint } => {
                 self.quarantine.clear(fingerprint);
             }
@@ -221,26 +249,41 @@
         timeline.record("home.endpoint_crashed", "", &fields);
         let now_ms = self.instance.now_ms();
         for &fingerprint in fingerprints {
-            let crashes = self.quarantine.record_crash(fingerprint, now_ms);
-            self.notify_members(&gateway::Message::ReportCrash {
+            let instance = self.instance.id();
+            let crashes = self.quarantine.record_crash(fingerprint, instance, now_ms);
+            let reports = self.notify_members(&gateway::Message::CrashesSeen {
                 fingerprint,
+                instance: instance.clone(),
                 crashes,
             });
+            let mut pending = self.lock_crash_reports();
+            pending.retain(|report| report.peek().is_none());
+            pending.extend(reports);
         }
     }
 
-    /// Sends a message to every other member, without waiting for answers.
-    fn notify_members(&self, message: &gateway::Message) {
+    fn lock_crash_reports(&self) -> MutexGuard<'_, Vec<Notification>> {
+        self.crash_reports
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// Sends a message to every other member. The notifications need not be waited for.
+    fn notify_members(&self, message: &gateway::Message) -> Vec<Notification> {
         let Some(peers) = self.instance.peers() else {
-            return;
+            return Vec::new();
         };
         let view = self.instance.view.load();
         let others = view.members.iter();
-        for member in others.filter(|member| member.instance != *self.instance.id()) {
-            let request = PeerRequest::Gateway(message.clone());
-            let mut replies = peers.open(&member.instance, &member.peer_address, request);
-            actix_rt::spawn(async move { replies.next().await });
-        }
+        others
+            .filter(|member| member.instance != *self.instance.id())
+            .map(|member| {
+                let request = PeerRequest::Gateway(message.clone());
+                let mut replies = peers.open(&member.instance, &member.peer_address, request);
+                let answer = actix_rt::spawn(async move { drop(replies.next().await) });
+                answer.map(drop).boxed().shared()
+            })
+            .collect()
     }
 
     fn targets(&self, routes: &RouteTable) -> Vec<EndpointTarget> {
--- a/flamingoscale/src/gateway.rs
+++ b/flamingoscale/src/gateway.rs
@@ -62,7 +62,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[non_exhaustive]
 pub enum Message {
-    /// Reports that a request was in flight when an endpoint crashed. Sent to all members.
+    /// Replaced by [`Message::CrashesSeen`] and no longer sent. It keeps its place, because the encoding
+    /// numbers the variants.
     ReportCrash {
         /// Hash of the request, as computed by `Work::fingerprint`.
         fingerprint: u64,
@@ -119,6 +120,15 @@
         /// Hash of the request, as computed by `Work::fingerprint`.
         fingerprint: u64,
     },
+    /// Reports that a request was in flight when an endpoint crashed. Sent to all members.
+    CrashesSeen {
+        /// Hash of the request, as computed by `Work::fingerprint`.
+        fingerprint: u64,
+        /// The sender.
+        instance: Arc<str>,
+        /// Number of crashes of this request that the sender has seen itself.
+        crashes: u32,
+    },
 }
 
 /// Replies to [`Message`].
--- a/flamingoscale/src/gateway/quarantine.rs
+++ b/flamingoscale/src/gateway/quarantine.rs
@@ -52,12 +52,20 @@
     },
 }
 
-#[derive(Clone, Copy, Debug)]
+/// The crashes at which a request was in flight. Instances count them by themselves, so that crashes
+/// that two of them see at the same time add up.
+#[derive(Clone, Debug)]
 struct CrashRecord {
-    crashes: u32,
+    by_instance: HashMap<Arc<str>, u32>,
     last_crash_ms: u64,
 }
 
+impl CrashRecord {
+    fn crashes(&self) -> u32 {
+        self.by_instance.values().sum()
+    }
+}
+
 /// Suspects that one instance counted itself or learned of from other instances, by fingerprint.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineTable {
@@ -65,19 +73,21 @@
 }
 
 impl QuarantineTable {
-    /// Counts a crash and returns the total for this request.
-    pub(crate) fn record_crash(&self, fingerprint: u64, now_ms: u64) -> u32 {
-        let crashes = match self.suspicion(fingerprint, now_ms) {
+    /// Counts a crash that this instance saw. Returns how many it has seen of this request.
+    pub(crate) fn record_crash(&self, fingerprint: u64, own_name: &Arc<str>, now_ms: u64) -> u32 {
+        let seen = match self.suspicion(fingerprint, now_ms) {
             Suspicion::None => 0,
-            _ => self.lock().get(&fingerprint).map_or(0, |r| r.crashes),
+            _ => self.lock().get(&fingerprint).map_or(0, |record| {
+                record.by_instance.get(own_name).copied().unwrap_or(0)
+            }),
         };
-        self.merge(fingerprint, crashes + 1, now_ms);
-        crashes + 1
+        self.merge(fingerprint, own_name, seen + 1, now_ms);
+        seen + 1
     }
 
-    /// Merges the crash count that another instance reported. A count that is not higher than the
+    /// Merges the crashes that an instance reported to have seen. A count that is not higher than the
     /// stored one is ignored, so that repeated reports count once.
-    pub(crate) fn merge(&self, fingerprint: u64, crashes: u32, now_ms: u64) {
+    pub(crate) fn merge(&self, fingerprint: u64, instance: &Arc<str>, crashes: u32, now_ms: u64) {
         let mut records = self.lock();
         if records.len() >= MAX_SUSPECTS && !records.contains_key(&fingerprint) {
             let oldest = records
@@ -87,12 +97,13 @@
                 records.remove(&oldest);
             }
         }
-        let record = records.entry(fingerprint).or_insert(CrashRecord {
-            crashes: 0,
+        let record = records.entry(fingerprint).or_insert_with(|| CrashRecord {
+            by_instance: HashMap::new(),
             last_crash_ms: now_ms,
         });
-        if crashes > record.crashes {
-            record.crashes = crashes;
+        let seen = record.by_instance.entry(instance.clone()).or_default();
+        if crashes > *seen {
+            *seen = crashes;
             record.last_crash_ms = now_ms;
         }
     }
@@ -100,14 +111,14 @@
     /// Returns the current suspicion against a request.
     pub(crate) fn suspicion(&self, fingerprint: u64, now_ms: u64) -> Suspicion {
         let mut records = self.lock();
-        let Some(record) = records.get(&fingerprint).copied() else {
+        let Some(record) = records.get(&fingerprint) else {
             return Suspicion::None;
         };
         let remaining_ms = (record.last_crash_ms + SUSPICION_TTL_MS).saturating_sub(now_ms);
         if remaining_ms == 0 {
             records.remove(&fingerprint);
             Suspicion::None
-        } else if record.crashes >= CRASHES_TO_REFUSE {
+        } else if record.crashes() >= CRASHES_TO_REFUSE {
             Suspicion::Refused { remaining_ms }
         } else {
             Suspicion::Suspect
@@ -166,29 +177,47 @@
     #[test]
     fn a_second_crash_refuses_until_the_suspicion_expires() {
         let table = QuarantineTable::default();
-        assert_eq!(table.record_crash(7, 100), 1);
+        assert_eq!(table.record_crash(7, &"a".into(), 100), 1);
         assert_eq!(table.suspicion(7, 100), Suspicion::Suspect);
-        assert_eq!(table.record_crash(7, 200), 2);
+        assert_eq!(table.record_crash(7, &"a".into(), 200), 2);
         let remaining_ms = SUSPICION_TTL_MS;
         assert_eq!(table.suspicion(7, 200), Suspicion::Refused { remaining_ms });
         assert_eq!(table.suspicion(7, 200 + SUSPICION_TTL_MS), Suspicion::None);
-        assert_eq!(table.record_crash(7, 200 + SUSPICION_TTL_MS), 1);
+        assert_eq!(
+            table.record_crash(7, &"a".into(), 200 + SUSPICION_TTL_MS),
+            1
+        );
     }
 
     #[test]
     fn a_repeated_crash_report_is_counted_once() {
         let table = QuarantineTable::default();
-        table.merge(7, 1, 100);
-        table.merge(7, 1, 150);
+        table.merge(7, &"b".into(), 1, 100);
+        table.merge(7, &"b".into(), 1, 150);
         assert_eq!(table.suspicion(7, 200), Suspicion::Suspect);
-        table.merge(7, 2, 200);
+        table.merge(7, &"b".into(), 2, 200);
         assert!(matches!(table.suspicion(7, 200), Suspicion::Refused { .. }));
     }
 
+    #[test]
+    fn crashes_that_two_instances_see_at_the_same_time_add_up() {
+        let names: [Arc<str>; 2] = ["a".into(), "b".into()];
+        let tables = [QuarantineTable::default(), QuarantineTable::default()];
+        let seen = [0, 1].map(|i| tables[i].record_crash(7, &names[i], 100));
+        for table in &tables {
+            assert_eq!(table.suspicion(7, 100), Suspicion::Suspect);
+        }
+        for (i, other) in [(0, 1), (1, 0)] {
+            tables[i].merge(7, &names[other], seen[other], 150);
+            let suspicion = tables[i].suspicion(7, 150);
+            assert!(matches!(suspicion, Suspicion::Refused { .. }));
+        }
+    }
+
     #[test]
     fn clearing_a_suspect_ends_the_suspicion() {
         let table = QuarantineTable::default();
-        table.record_crash(7, 100);
+        table.record_crash(7, &"a".into(), 100);
         table.clear(7);
         assert_eq!(table.suspicion(7, 100), Suspicion::None);
     }
@@ -197,7 +226,7 @@
     fn a_full_table_evicts_the_oldest_suspect() {
         let table = QuarantineTable::default();
         for fingerprint in 0..=MAX_SUSPECTS as u64 {
-            table.record_crash(fingerprint, fingerprint);
+            table.record_crash(fingerprint, &"a".into(), fingerprint);
         }
         let now_ms = MAX_SUSPECTS as u64;
         assert_eq!(table.suspicion(0, now_ms), Suspicion::None);
