Instances that lose their links together turn to different others

The order now comes from a hash of both names, and an instance that answers that it reaches no endpoint either does not count as a refusal by an endpoint; ten of them end the request. instances_that_lose_their_links_together_choose_different_others fails with ties by list order.

--- a/flamingoscale/src/fleet/attempts.rs
+++ b/flamingoscale/src/fleet/attempts.rs
@@ -8,11 +8,17 @@
 /// route's `max_attempts`. A service has about this many endpoints.
 const MAX_REFUSALS: u32 = 4;
 
+/// Maximum number of attempts of one request that other instances turned away. While more than half
+/// of the instances have lost their links, some do not know it yet.
+const MAX_TURNED_AWAY: u32 = 10;
+
 /// How an attempt ended without a successful response for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptEnd {
     /// The endpoint did not run the request.
     Refused,
+    /// Another instance, which was to forward the request, did not send it to an endpoint.
+    TurnedAway,
     /// The endpoint may have run the request, but gave no complete response.
     Lost,
     /// The endpoint completed the request with an error response.
@@ -39,6 +45,7 @@
     /// Attempts that ended as [`AttemptEnd::Lost`] or [`AttemptEnd::Failed`].
     lost: u32,
     refused: u32,
+    turned_away: u32,
     /// Whether every endpoint has been tried.
     exhausted: bool,
     next_attempt_ms: u64,
@@ -54,6 +61,7 @@
             in_flight: 0,
             lost: 0,
             refused: 0,
+            turned_away: 0,
             exhausted: false,
             next_attempt_ms: now_ms,
         }
@@ -65,6 +73,7 @@
         let not_run = self.lost == 0 && self.in_flight == 0;
         let may_send = self.lost + self.in_flight < self.max_attempts
             && self.refused < MAX_REFUSALS
+            && self.turned_away < MAX_TURNED_AWAY
             && !self.exhausted
             && (self.idempotent || not_run);
         may_send.then_some(self.next_attempt_ms)
@@ -93,6 +102,7 @@
         self.next_attempt_ms = now_ms;
         match end {
             AttemptEnd::Refused => self.refused += 1,
+            AttemptEnd::TurnedAway => self.turned_away += 1,
             AttemptEnd::Lost | AttemptEnd::Failed => self.lost += 1,
         }
     }
--- a/flamingoscale/src/fleet/attempts/tests.rs
+++ b/flamingoscale/src/fleet/attempts/tests.rs
@@ -100,3 +100,17 @@
         }
     }
 }
+
+#[test]
+fn instances_that_turn_a_request_away_do_not_use_up_its_refusals() {
+    let mut attempts = Attempts::new(2, false, 75, 0);
+    for now_ms in 0..u64::from(MAX_TURNED_AWAY) - 1 {
+        attempts.sent(now_ms);
+        attempts.ended(AttemptEnd::TurnedAway, now_ms);
+        assert!(attempts.next_attempt_ms().is_some());
+    }
+    attempts.sent(20);
+    attempts.ended(AttemptEnd::TurnedAway, 20);
+    assert_eq!(attempts.next_attempt_ms(), None);
+    assert_eq!(attempts.verdict(), Verdict::NotRun);
+}
--- a/flamingoscale/src/fleet/relays.rs
+++ b/flamingoscale/src/fleet/relays.rs
@@ -1,11 +1,12 @@
 //! Chooses the instance that forwards a request for one that reaches no endpoint.
 
 use std::{
-    cmp::Reverse,
     collections::HashMap,
     sync::Arc, //
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::ledger::Ledger;
 
 /// Time during which an instance that did not forward a request is chosen last.
@@ -27,10 +28,12 @@
 
 impl Relays {
     /// Chooses the next instance among `candidates` that is known to reach endpoints, and counts a
-    /// request as in flight there. Instances with more CPU get more of the requests.
+    /// request as in flight there. Instances with more CPU get more of the requests. A hash gives each
+    /// instance an order of its own: many may lose their links at once.
     pub fn choose(
         &mut self,
         ledger: &Ledger,
+        own_name: &str,
         candidates: &[Arc<str>],
         now_ms: u64,
     ) -> Option<Arc<str>> {
@@ -43,7 +46,8 @@
             let millicores = member.map_or(0, |member| member.heartbeat.millicores);
             let load = u64::from(relay.in_flight) * 1_000 / u64::from(millicores.max(1));
             let is_avoided = now_ms < relay.backoff_until_ms;
-            (is_avoided, load, relay.chosen_ms, Reverse(millicores))
+            let order = xxh3_64(format!("{own_name}\n{instance}").as_bytes());
+            (is_avoided, load, relay.chosen_ms, order)
         })?;
         let relay = self.by_instance.entry(chosen.clone()).or_default();
         relay.in_flight += 1;
--- a/flamingoscale/src/fleet/relays/tests.rs
+++ b/flamingoscale/src/fleet/relays/tests.rs
@@ -35,12 +35,31 @@
     let mut relays = Relays::default();
     let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
     for now_ms in 1..=30 {
-        let chosen = relays.choose(&ledger, &candidates, now_ms).unwrap();
+        let chosen = relays.choose(&ledger, "own", &candidates, now_ms).unwrap();
         *counts.entry(chosen).or_default() += 1;
     }
     assert_eq!(counts.len(), 2);
     assert!((19..=21).contains(&counts["large"]), "{counts:?}");
-    assert!(relays.choose(&ledger, &names(&["cut"]), 31).is_none());
+    assert!(relays
+        .choose(&ledger, "own", &names(&["cut"]), 31)
+        .is_none());
+}
+
+#[test]
+fn instances_that_lose_their_links_together_choose_different_others() {
+    let reaching: Vec<String> = (0..8).map(|number| format!("front-{number}")).collect();
+    let ledger = ledger_of(reaching.iter().map(|name| links(name, 1, true)));
+    let candidates: Vec<Arc<str>> = reaching.iter().map(|name| name.as_str().into()).collect();
+    let first_choice = |number: usize| {
+        let own_name = format!("cut-{number}");
+        Relays::default().choose(&ledger, &own_name, &candidates, 1)
+    };
+    let mut counts: HashMap<Arc<str>, u32> = HashMap::new();
+    for chosen in (0..80).filter_map(first_choice) {
+        *counts.entry(chosen).or_default() += 1;
+    }
+    assert_eq!(counts.len(), candidates.len());
+    assert!(counts.values().all(|count| *count <= 20), "{counts:?}");
 }
 
 #[test]
@@ -50,15 +69,18 @@
     let mut relays = Relays::default();
     relays.failed(&"a".into(), 1_000);
     for now_ms in [1_000, 1_500, 1_999] {
-        let chosen = relays.choose(&ledger, &candidates, now_ms).unwrap();
+        let chosen = relays.choose(&ledger, "own", &candidates, now_ms).unwrap();
         assert_eq!(&*chosen, "b");
         relays.finished("b");
     }
     let only = names(&["a"]);
-    assert_eq!(relays.choose(&ledger, &only, 1_999).as_deref(), Some("a"));
+    assert_eq!(
+        relays.choose(&ledger, "own", &only, 1_999).as_deref(),
+        Some("a")
+    );
     relays.finished("a");
     let mut chosen: Vec<_> = (2_001..2_003)
-        .filter_map(|now_ms| relays.choose(&ledger, &candidates, now_ms))
+        .filter_map(|now_ms| relays.choose(&ledger, "own", &candidates, now_ms))
         .collect();
     chosen.sort();
     assert_eq!(chosen, candidates);
