Settings and configuration of cold starts, evacuation, scaling and policies

Cause: the configuration of some deployments names cold starts, scaling and priorities, and the settings name evacuation bounds and duties; nothing read them. Change: they are parsed into the configuration and the settings, malformed scaling is ignored with a log line, and a setting selects each policy. docs/design/scarce-endpoints.md specifies the parts that will use them. Result: no decision changes yet; the unit tests of the platform folder pass.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -21,6 +21,7 @@
 pub mod loads;
 pub mod migration;
 pub mod pacing;
+pub mod policies;
 pub mod reach;
 pub mod record;
 pub mod relays;
--- a/flamingoscale/src/fleet/configuration.rs
+++ b/flamingoscale/src/fleet/configuration.rs
@@ -43,6 +43,8 @@
     pub single_version: bool,
     /// Time after the submission of a batch after which its unfinished samples may be abandoned.
     pub retention_ms: u64,
+    /// Rank of the requests; 0 is the most urgent.
+    pub priority: u32,
 }
 
 /// Settings of a service whose endpoints are model engines.
@@ -50,15 +52,48 @@
 pub struct Engines {
     /// The models that the engines serve, in the operator's order.
     pub models: Vec<Arc<str>>,
+    /// Number of requests that an engine runs at once; 0 if not configured.
+    pub slots: u32,
+    /// Memory of an engine for running requests and cached prompt parts, in tokens; 0 if not
+    /// configured.
+    pub memory_tokens: u64,
+}
+
+/// How the endpoints of a service behave after their start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// Time for which an endpoint is cold after its start.
+    pub duration_ms: u64,
+    /// Requests per second that a cold endpoint bears from all instances together.
+    pub requests_per_s: f64,
+}
+
+/// Bounds and prices of the endpoints of a service that can be ordered from the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scaling {
+    /// Smallest number of endpoints in each failure domain.
+    pub min: u32,
+    /// Largest number of endpoints in each failure domain.
+    pub max: u32,
+    /// Time from an accepted order until the endpoint serves.
+    pub boot_ms: u64,
+    /// Price of an endpoint that may be reclaimed, relative to the price of the others.
+    pub spot_price: f64,
+    /// Price of an endpoint for each second, by failure domain.
+    pub domain_prices: HashMap<Arc<str>, f64>,
 }
 
 /// A service that requests are routed to.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// Name of the service.
     pub name: Arc<str>,
     /// Settings of the engines; `None` if the endpoints are not model engines.
     pub engines: Option<Engines>,
+    /// Behaviour of endpoints after their start; `None` if they are never cold.
+    pub cold_start: Option<ColdStart>,
+    /// Bounds of the orders for endpoints; `None` if none can be ordered.
+    pub scaling: Option<Scaling>,
 }
 
 /// A complete configuration.
@@ -72,6 +107,9 @@
     pub services: HashMap<Arc<str>, Service>,
     /// Organisations by API key; `None` if the operator doesn't use API keys.
     pub keys: Option<HashMap<Arc<str>, Arc<str>>>,
+    /// Rank of the requests of an organisation, which goes before that of the route; 0 is the most
+    /// urgent. Organisations without a rank are not listed.
+    pub organisation_priorities: HashMap<Arc<str>, u32>,
     /// Size limits for requests of callers.
     pub limits: Limits,
 }
--- a/flamingoscale/src/fleet/limits/tests.rs
+++ b/flamingoscale/src/fleet/limits/tests.rs
@@ -228,7 +228,9 @@
         name: "drafting".into(),
         engines: Some(Engines {
             models: models.map(Arc::from).to_vec(),
+            ..Engines::default()
         }),
+        ..Service::default()
     };
     Configuration {
         services: HashMap::from([(service.name.clone(), service)]),
