Cold endpoints: what is known of the cold period, and permits for its rate

Endpoints that had just started got 20 and 23 requests in a second where 18.5 were allowed. A cold endpoint now has permits like one that names a request limit, with a lifetime that keeps the bound in any second. The list, responses, failed connections and evacuations that ended say whether an endpoint is cold; without evidence it is cold from its start on. Endpoints::domain_returned marks the endpoints of a failure domain as cold.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -31,3 +31,4 @@
 pub mod streams;
 pub mod texts;
 pub mod usage;
+pub mod warming;
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -9,7 +9,14 @@
 };
 
 use super::{
+    configuration::{
+        ColdStart,
+        Configuration, //
+    },
     limits::{
+        ColdBounds,
+        ColdRate,
+        Grid,
         Permits,
         RateLimit, //
     },
@@ -17,6 +24,12 @@
     statements::{
         Announced,
         Statement, //
+    },
+    warming::{
+        Change,
+        ColdReport,
+        Warming,
+        WINDOW_MS, //
     }, //
 };
 
@@ -45,6 +58,8 @@
     pub versions: HashMap<Arc<str>, u64>,
     /// Start time in Unix milliseconds; distinguishes incarnations with the same id.
     pub started_unix_ms: u64,
+    /// How long the endpoint stays cold, as the record says.
+    pub cold_left: ColdReport,
 }
 
 /// One endpoint with its health and load as observed by this instance.
@@ -58,6 +73,11 @@
     pub notice: LeavingNotice,
     /// Permits of this instance for requests to the endpoint; `None` while it names no limit.
     pub permits: Option<Permits>,
+    /// What is known of the endpoint's cold period.
+    pub warming: Warming,
+    /// Permits of this instance while the endpoint is cold. They replace `permits` and follow the
+    /// smaller one of the two limits.
+    pub cold_permits: Option<Permits>,
     /// When this instance last heard whether the endpoint names a limit, in monotonic milliseconds.
     pub limit_known_ms: u64,
     /// When this instance last told the others what the endpoint says, in monotonic milliseconds.
@@ -134,8 +154,59 @@
 
     /// Returns whether this instance may send `requests` more requests within the endpoint's limit.
     pub fn permits_requests(&self, requests: u32) -> bool {
-        let permits = self.permits.as_ref();
-        permits.is_none_or(|permits| permits.left() >= requests)
+        self.permits_left().is_none_or(|left| left >= requests)
+    }
+
+    /// Returns the number of requests that this instance may send now; `None` if there is no limit.
+    pub fn permits_left(&self) -> Option<u32> {
+        let permits = self.cold_permits.as_ref().or(self.permits.as_ref());
+        permits.map(Permits::left)
+    }
+
+    /// Returns whether a request to the endpoint needs a permit.
+    pub fn is_limited(&self) -> bool {
+        self.cold_permits.is_some() || self.permits.is_some()
+    }
+
+    /// Returns whether the endpoint is cold and this instance has no permit for it.
+    pub fn lacks_cold_permit(&self) -> bool {
+        let permits = self.cold_permits.as_ref();
+        permits.is_some_and(|permits| permits.left() == 0)
+    }
+
+    /// Evaluates what is known of the cold period, and gives the endpoint permits for its rate or
+    /// takes them away.
+    fn warm_up(
+        &mut self,
+        cold_start: Option<&ColdStart>,
+        bounds: ColdBounds,
+        wall_ms: u64,
+    ) -> Option<Change> {
+        let Some(cold_start) = cold_start else {
+            self.cold_permits = None;
+            return None;
+        };
+        let was_unlimited = self.warming.may_have_been_unlimited();
+        let started_unix_ms = self.listing.started_unix_ms;
+        let change = self.warming.evaluate(cold_start, started_unix_ms, wall_ms);
+        if !self.warming.is_cold() {
+            if self.cold_permits.take().is_some() {
+                let limit = self.permits.as_ref().map(Permits::limit);
+                self.permits = limit.map(|limit| Permits::new(limit, wall_ms));
+            }
+            return change;
+        }
+        let named = self.permits.as_ref().map(Permits::limit);
+        let rate = ColdRate::new(cold_start.requests_per_s, bounds, named);
+        let current = self.cold_permits.as_ref();
+        if current.is_some_and(|permits| permits.follows(rate)) {
+            return change;
+        }
+        // The bound holds for a window that began before: what was sent in it counts.
+        let counts_earlier = was_unlimited || current.is_some();
+        let start_ms = wall_ms + if counts_earlier { WINDOW_MS } else { 0 };
+        self.cold_permits = Some(Permits::cold(rate, start_ms));
+        change
     }
 
     /// Returns the newest known version of a model's weights at the endpoint.
@@ -162,12 +233,22 @@
     arena: Vec<Endpoint>,
     /// The newest endpoint with each id.
     by_id: HashMap<Arc<str>, EndpointKey>,
+    /// When the read of the list was sent whose records are applied now, in wall-clock milliseconds.
+    list_read_ms: u64,
 }
 
 impl Endpoints {
+    /// Records when the read of the list was sent that gave the records that are applied next, in
+    /// wall-clock milliseconds.
+    pub fn list_read(&mut self, sent_wall_ms: u64) {
+        self.list_read_ms = sent_wall_ms;
+    }
+
     /// Applies the listing of one endpoint. Listings of earlier incarnations are ignored.
     pub fn update(&mut self, listing: Listing) {
         let mut notice = LeavingNotice::None;
+        let mut warming = Warming::default();
+        let mut cold_permits = None;
         if let Some(key) = self.by_id.get(&listing.id) {
             let current = &mut self.arena[key.0 as usize];
             if current.listing.started_unix_ms > listing.started_unix_ms {
@@ -175,15 +256,21 @@
             }
             let restarted = current.listing.started_unix_ms < listing.started_unix_ms;
             if !restarted && current.listing.address == listing.address {
+                current.warming.listed(listing.cold_left, self.list_read_ms);
                 current.listing = merge_listings(&current.listing, listing);
                 current.delisted = false;
                 return;
             }
             current.delisted = true;
-            if !restarted {
+            if restarted {
+                warming = current.warming.of_next_start();
+            } else {
                 notice = current.notice;
+                warming = current.warming;
+                cold_permits = current.cold_permits.clone();
             }
         }
+        warming.listed(listing.cold_left, self.list_read_ms);
         let index = u32::try_from(self.arena.len()).unwrap_or(u32::MAX);
         self.by_id.insert(listing.id.clone(), EndpointKey(index));
         self.arena.push(Endpoint {
@@ -191,6 +278,8 @@
             delisted: false,
             notice,
             permits: None,
+            warming,
+            cold_permits,
             limit_known_ms: 0,
             announced_ms: 0,
             in_flight: 0,
@@ -280,29 +369,94 @@
         }
     }
 
-    /// Returns whether an endpoint of the service names a request limit.
+    /// Records that a connection to an endpoint was refused, reset or broken. The endpoint may start
+    /// again under the same id and address, which the list shows late.
+    pub fn connection_failed(&mut self, key: EndpointKey) {
+        self.arena[key.0 as usize].warming.connection_failed();
+    }
+
+    /// Records that an endpoint answered.
+    pub fn answered(&mut self, key: EndpointKey, wall_ms: u64) {
+        self.arena[key.0 as usize].warming.answered(wall_ms);
+    }
+
+    /// Records how long an endpoint stays cold, as its response says.
+    pub fn cold_stated(&mut self, key: EndpointKey, report: ColdReport, wall_ms: u64) {
+        self.arena[key.0 as usize].warming.stated(report, wall_ms);
+    }
+
+    /// Records that the evacuation of a failure domain has ended. Its endpoints are cold for the time
+    /// that their service's endpoints are cold after a start, unless a record shows otherwise that was
+    /// written later. Cold periods count in wall-clock time, so the monotonic time is not used.
+    pub fn domain_returned(
+        &mut self,
+        failure_domain: &str,
+        configuration: &Configuration,
+        _now_ms: u64,
+        wall_ms: u64,
+    ) {
+        for endpoint in &mut self.arena {
+            let listing = &endpoint.listing;
+            let service = configuration.services.get(&listing.service);
+            let is_in_domain = *listing.failure_domain == *failure_domain;
+            if is_in_domain && service.is_some_and(|service| service.cold_start.is_some()) {
+                endpoint.warming.domain_returned(wall_ms);
+            }
+        }
+    }
+
+    /// Returns whether requests to an endpoint of the service need permits.
     pub fn has_limits(&self, service: &str) -> bool {
         self.of_service(service)
-            .any(|(_, endpoint)| endpoint.permits.is_some())
+            .any(|(_, endpoint)| endpoint.is_limited())
+    }
+
+    /// Evaluates which endpoints of a service are cold. Returns what has changed, for the log.
+    pub fn warm_up(
+        &mut self,
+        service: &str,
+        cold_start: Option<&ColdStart>,
+        bounds: ColdBounds,
+        wall_ms: u64,
+    ) -> Vec<(EndpointKey, Change)> {
+        let mut changes = Vec::new();
+        for key in self.by_id.values() {
+            let endpoint = &mut self.arena[key.0 as usize];
+            if *endpoint.listing.service == *service && !endpoint.delisted {
+                let change = endpoint.warm_up(cold_start, bounds, wall_ms);
+                changes.extend(change.map(|change| (*key, change)));
+            }
+        }
+        changes
     }
 
     /// Adds the permits for requests to the endpoints of a service. `owns` returns whether this
-    /// instance owns a slot of an endpoint.
-    pub fn deal_permits(&mut self, service: &str, wall_ms: u64, owns: &dyn Fn(&str, u64) -> bool) {
+    /// instance may use a slot of an endpoint.
+    pub fn deal_permits(
+        &mut self,
+        service: &str,
+        wall_ms: u64,
+        owns: &dyn Fn(&str, u64, Grid) -> bool,
+    ) {
         for key in self.by_id.values() {
             let endpoint = &mut self.arena[key.0 as usize];
             if *endpoint.listing.service != *service {
                 continue;
             }
-            if let Some(permits) = &mut endpoint.permits {
-                permits.deal(wall_ms, |slot| owns(&endpoint.listing.id, slot));
+            let id = &endpoint.listing.id;
+            if let Some(permits) = &mut endpoint.cold_permits {
+                permits.deal(wall_ms, |slot| owns(id, slot, Grid::Cold));
+            } else if let Some(permits) = &mut endpoint.permits {
+                permits.deal(wall_ms, |slot| owns(id, slot, Grid::Named));
             }
         }
     }
 
-    /// Uses a permit for a request to the endpoint, if it names a limit.
+    /// Uses a permit for a request to the endpoint, if it has a limit.
     pub fn take_permit(&mut self, key: EndpointKey) {
-        if let Some(permits) = &mut self.arena[key.0 as usize].permits {
+        let endpoint = &mut self.arena[key.0 as usize];
+        let permits = endpoint.cold_permits.as_mut();
+        if let Some(permits) = permits.or(endpoint.permits.as_mut()) {
             permits.take();
         }
     }
@@ -348,7 +502,11 @@
 
     /// Counts a request as in flight at the endpoint.
     pub fn request_sent(&mut self, key: EndpointKey) {
-        self.arena[key.0 as usize].in_flight += 1;
+        let endpoint = &mut self.arena[key.0 as usize];
+        endpoint.in_flight += 1;
+        if endpoint.cold_permits.is_none() {
+            endpoint.warming.sent_without_permit();
+        }
     }
 
     /// Records that a request is no longer in flight, regardless of its outcome.
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -21,7 +21,8 @@
         SampleResult,
         ScoringCall, //
     },
-    texts::TextLocation, //
+    texts::TextLocation,
+    warming::ColdReport, //
 };
 
 /// Applies a record to a ledger. A batch is registered first, and milestones are recorded.
@@ -163,6 +164,7 @@
         draining: false,
         versions: HashMap::from([("notes".into(), version)]),
         started_unix_ms: 1,
+        cold_left: ColdReport::NotStated,
     }
 }
 
--- a/flamingoscale/src/fleet/limits.rs
+++ b/flamingoscale/src/fleet/limits.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::{
+        HashMap,
         HashSet,
         VecDeque, //
     },
@@ -18,7 +19,10 @@
     Deserialize,
     Serialize, //
 };
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 use super::{
     cells::Cells,
@@ -54,10 +58,15 @@
         if requests_per_s.is_nan() || requests_per_s < 0.0 {
             return None;
         }
+        Some(Self::per_s(requests_per_s))
+    }
+
+    /// Returns the limit of a number of requests per second that is not negative.
+    fn per_s(requests_per_s: f64) -> Self {
         let requests_per_1000_s = (requests_per_s * 1_000.0).min(MAX_REQUESTS_PER_1000_S) as u64;
-        Some(Self {
+        Self {
             requests_per_1000_s: requests_per_1000_s.max(MIN_REQUESTS_PER_1000_S),
-        })
+        }
     }
 
     /// Returns the limit in requests per second.
@@ -103,10 +112,82 @@
 /// A permit is valid for the time of this many requests longer, so that a small limit can be used.
 const PERMIT_LIFETIME_REQUESTS: u64 = 2;
 
+/// What a cold endpoint may get: in any second its rate times `overshoot`, and `slack` requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBounds {
+    /// Factor of the rate.
+    pub overshoot: f64,
+    /// Number of requests.
+    pub slack: f64,
+}
+
+/// The rate at which permits of a cold endpoint are issued, and how long they are valid.
+///
+/// A window of one second gets the permits of its own time and of one lifetime before, and those of
+/// the slots at its two ends. Instances without contact to the others use their slots beside those to
+/// whom the slots went, so this is multiplied by `1 + 1 / UNCONFIRMED_DIVISOR`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ColdRate {
+    limit: RateLimit,
+    lifetime_ms: u64,
+}
+
+/// An instance without contact to the others uses one of this many of its slots of a cold endpoint.
+/// The others may have got the same slots. A larger share would leave less time for a permit to be
+/// valid, and requests of callers would find none.
+const UNCONFIRMED_DIVISOR: u64 = 4;
+
+/// Shortest lifetime of a permit of a cold endpoint. Samples look for permits every 100 ms.
+const MIN_COLD_LIFETIME_MS: u64 = 150;
+
+impl ColdRate {
+    /// Returns the largest rate up to that of a cold endpoint, and up to the limit that the endpoint
+    /// itself names, that keeps the bounds, with the longest lifetime.
+    pub fn new(requests_per_s: f64, bounds: ColdBounds, named: Option<RateLimit>) -> Self {
+        let cold = RateLimit::per_s(requests_per_s);
+        let limit = match named {
+            Some(named) if named.requests_per_1000_s < cold.requests_per_1000_s => named,
+            _ => cold,
+        };
+        let allowed = requests_per_s * bounds.overshoot + bounds.slack;
+        let at_ends = 2.0 * limit.permits_per_slot() as f64;
+        let overlap = 1.0 + 1.0 / UNCONFIRMED_DIVISOR as f64;
+        let window_s = (allowed - at_ends).max(0.0) / (limit.requests_per_s() * overlap);
+        let lifetime_ms = ((window_s - 1.0) * 1_000.0) as u64;
+        if lifetime_ms >= MIN_COLD_LIFETIME_MS {
+            return Self {
+                limit,
+                lifetime_ms: lifetime_ms.min(BASE_PERMIT_LIFETIME_MS),
+            };
+        }
+        let window_s = 1.0 + MIN_COLD_LIFETIME_MS as f64 / 1_000.0;
+        Self {
+            limit: RateLimit::per_s((allowed - at_ends).max(0.0) / (window_s * overlap)),
+            lifetime_ms: MIN_COLD_LIFETIME_MS,
+        }
+    }
+
+    /// Returns the rate in requests per second.
+    pub fn requests_per_s(self) -> f64 {
+        self.limit.requests_per_s()
+    }
+}
+
+/// How the slots of an endpoint are given to instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grid {
+    /// The slots of a limit that the endpoint names.
+    Named,
+    /// The slots of a cold endpoint.
+    Cold,
+}
+
 /// The permits of one instance for requests to one endpoint.
 #[derive(Clone, Debug)]
 pub struct Permits {
     limit: RateLimit,
+    /// How long a permit is valid.
+    lifetime_ms: u64,
     /// End of the time whose slots have been dealt, in microseconds of the wall clock.
     dealt_until_us: u64,
     /// The slots with unused permits, oldest first.
@@ -126,11 +207,26 @@
     pub fn new(limit: RateLimit, wall_ms: u64) -> Self {
         Self {
             limit,
+            lifetime_ms: limit.permit_lifetime_ms(),
             dealt_until_us: wall_ms * 1_000,
             slots: VecDeque::new(),
         }
     }
 
+    /// Returns the permits for a cold endpoint, none of which is valid before `start_ms` of the wall
+    /// clock.
+    pub fn cold(rate: ColdRate, start_ms: u64) -> Self {
+        Self {
+            lifetime_ms: rate.lifetime_ms,
+            ..Self::new(rate.limit, start_ms)
+        }
+    }
+
+    /// Returns whether these are permits for a cold endpoint with this rate.
+    pub fn follows(&self, rate: ColdRate) -> bool {
+        self.limit == rate.limit && self.lifetime_ms == rate.lifetime_ms
+    }
+
     /// Returns the limit.
     pub fn limit(&self) -> RateLimit {
         self.limit
@@ -141,6 +237,7 @@
         let replaced = !self.limit.is_close_to(limit);
         if replaced {
             self.limit = limit;
+            self.lifetime_ms = limit.permit_lifetime_ms();
         }
         replaced
     }
@@ -148,7 +245,7 @@
     /// Adds the permits of the slots that have started and that `owns` accepts, and drops the
     /// permits that are no longer valid.
     pub fn deal(&mut self, wall_ms: u64, owns: impl Fn(u64) -> bool) {
-        let lifetime_ms = self.limit.permit_lifetime_ms();
+        let lifetime_ms = self.lifetime_ms;
         let slot_us = self.limit.slot_us();
         let now_us = wall_ms * 1_000;
         let first_us = (self.dealt_until_us).max(now_us.saturating_sub(lifetime_ms * 1_000));
@@ -197,6 +294,8 @@
     parts: Vec<Part>,
     /// The instances that callers may reach.
     instances: Vec<Arc<str>>,
+    /// The part of the samples of the model that an engine is assigned to, by the engine's id.
+    assigned_parts: HashMap<Arc<str>, usize>,
 }
 
 impl Shares {
@@ -240,12 +339,69 @@
             let lease: &LeaseState = ledger.leases.get(&*format!("{RUN_LEASE_PREFIX}{model}"))?;
             (!lease.released).then(|| lease.last_message.holder.clone())
         };
-        let holders = models.into_iter().filter_map(holder);
-        parts.extend(holders.map(|holder| Part::Samples { holder }));
+        let mut part_of_model = HashMap::new();
+        for model in models {
+            if let Some(holder) = holder(model) {
+                part_of_model.insert(model, parts.len());
+                parts.push(Part::Samples { holder });
+            }
+        }
         if parts.is_empty() {
             parts.push(Part::Callers);
         }
-        Self { parts, instances }
+        instances.sort();
+        let assignments = ledger.assignments.iter();
+        Self {
+            parts,
+            instances,
+            assigned_parts: assignments
+                .filter_map(|(engine, model)| Some((engine.clone(), *part_of_model.get(model)?)))
+                .collect(),
+        }
+    }
+
+    /// Returns whether an instance may use a slot of a cold endpoint.
+    ///
+    /// The instances take turns, so that each has its slots at equal distances: then an instance
+    /// whose clock is off adds at most one request to a window. The samples' slots of an engine go to
+    /// the model that the engine is assigned to. `confirmed` is whether the instance is in contact
+    /// with the others; see [`is_confirmed`].
+    pub fn may_use_cold_slot(
+        &self,
+        instance: &str,
+        endpoint: &str,
+        slot: u64,
+        confirmed: bool,
+    ) -> bool {
+        let turn = slot + xxh3_64(endpoint.as_bytes()) % MAX_TURN_OFFSET;
+        let (part, round) = self.cold_part(endpoint, turn);
+        let every = if confirmed { 1 } else { UNCONFIRMED_DIVISOR };
+        match part {
+            Some(Part::Samples { holder }) => **holder == *instance && round % every == 0,
+            Some(Part::Callers) => {
+                let count = self.instances.len().max(1) as u64;
+                let place = round % count;
+                let index = usize::try_from(place).unwrap_or(usize::MAX);
+                let owner = self.instances.get(index);
+                let lap = round / count + place;
+                owner.is_some_and(|owner| **owner == *instance) && lap % every == 0
+            }
+            None => false,
+        }
+    }
+
+    /// Returns the part that has a turn at a cold endpoint, and the number of this turn of the part.
+    fn cold_part(&self, endpoint: &str, turn: u64) -> (Option<&Part>, u64) {
+        let Some(assigned) = self.assigned_parts.get(endpoint) else {
+            let count = self.parts.len().max(1) as u64;
+            let index = usize::try_from(turn % count).unwrap_or(usize::MAX);
+            return (self.parts.get(index), turn / count);
+        };
+        match self.parts.first() {
+            Some(Part::Callers) if turn % 2 == 0 => (self.parts.first(), turn / 2),
+            Some(Part::Callers) => (self.parts.get(*assigned), turn / 2),
+            _ => (self.parts.get(*assigned), turn),
+        }
     }
 
     /// Returns the instance that owns a slot of an endpoint.
@@ -265,6 +421,35 @@
     }
 }
 
+/// The turns at different endpoints are offset by less than this many slots.
+const MAX_TURN_OFFSET: u64 = 1 << 20;
+
+/// An instance that read the fleet topic this long ago may not know who runs samples now. Each read
+/// takes up to a second, and another instance claims the lease of samples after 1.8 s.
+const MAX_FLEET_READ_AGE_MS: u64 = 1_500;
+
+/// Returns whether an instance is in contact with the others: it knows recent records, and the
+/// others count it as live. They leave it out `heartbeat_timeout_ms` after its last heartbeat, so it
+/// has to have read one back somewhat later than that.
+pub fn is_confirmed(
+    ledger: &Ledger,
+    own_name: &str,
+    fleet_read_ms: u64,
+    heartbeat_timeout_ms: u64,
+    now_ms: u64,
+) -> bool {
+    let own = ledger.members.get(own_name);
+    let margin_ms = heartbeat_timeout_ms / HEARTBEAT_MARGIN_DIVISOR;
+    let is_counted = own.is_some_and(|member| {
+        now_ms.saturating_sub(member.seen_ms) < heartbeat_timeout_ms - margin_ms
+    });
+    is_counted && now_ms.saturating_sub(fleet_read_ms) < MAX_FLEET_READ_AGE_MS
+}
+
+/// The instances read a heartbeat at times that differ by up to the interval of reads, 0.4 s of the
+/// 2.6 s after which an instance is left out.
+const HEARTBEAT_MARGIN_DIVISOR: u64 = 6;
+
 /// Returns the instances that may get callers: this one, those of its cell whose last heartbeat is
 /// recent, and all others that are not shutting down.
 ///
--- a/flamingoscale/src/fleet/limits/tests.rs
+++ b/flamingoscale/src/fleet/limits/tests.rs
@@ -54,6 +54,7 @@
         let shares = Shares {
             parts: parts.to_vec(),
             instances: names.clone(),
+            ..Shares::default()
         };
         Self {
             clocks_ahead_ms: vec![0; instances],
