--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -176,3 +176,12 @@
         .for_each(|listing| endpoints.update(listing));
     endpoints
 }
+
+/// Returns the largest number of arrivals, in ascending order, in less than `window_ms`.
+pub(crate) fn most_in(window_ms: u64, arrivals: &[u64]) -> usize {
+    let in_window = |first: usize| {
+        let end_ms = arrivals[first] + window_ms;
+        arrivals[first..].partition_point(|at_ms| *at_ms < end_ms)
+    };
+    (0..arrivals.len()).map(in_window).max().unwrap_or(0)
+}
--- a/flamingoscale/src/fleet/limits/tests.rs
+++ b/flamingoscale/src/fleet/limits/tests.rs
@@ -19,8 +19,10 @@
     },
     fixtures::{
         batch,
-        lease_message, //
+        heartbeat,
+        lease_message,
         ledger_of,
+        most_in, //
     },
     record::Record, //
 };
@@ -44,6 +46,8 @@
     clocks_ahead_ms: Vec<u64>,
     permits: Vec<Permits>,
     shares: Vec<Shares>,
+    /// Whether each instance is in contact with the others.
+    confirmed: Vec<bool>,
 }
 
 impl Fleet {
@@ -60,6 +64,7 @@
             clocks_ahead_ms: vec![0; instances],
             permits: vec![Permits::new(limit, START_MS); instances],
             shares: vec![shares; instances],
+            confirmed: vec![true; instances],
             names,
         }
     }
@@ -86,18 +91,6 @@
 
 const START_MS: u64 = 1_785_166_305_000;
 
-/// Returns the largest number of arrivals within 4 s.
-fn most_in_4_s(arrivals: &[u64]) -> usize {
-    let in_window = |first: usize| {
-        let end_ms = arrivals[first] + 4_000;
-        arrivals[first..]
-            .iter()
-            .take_while(|at_ms| **at_ms < end_ms)
-            .count()
-    };
-    (0..arrivals.len()).map(in_window).max().unwrap_or(0)
-}
-
 /// The platform's rule: one and a half times what the limit allows in 4 s, and 5 requests.
 fn allowed_in_4_s(limit: RateLimit) -> usize {
     (limit.requests_per_s() * 6.0 + 5.0) as usize
@@ -129,7 +122,7 @@
         let limit = RateLimit::parse(requests_per_s).unwrap();
         let mut fleet = Fleet::new(instances, limit, &[Part::Callers]);
         let arrivals = overload(&mut fleet, limit, instances as u64);
-        let most = most_in_4_s(&arrivals);
+        let most = most_in(4_000, &arrivals);
         assert!(
             most <= allowed_in_4_s(limit),
             "{most}: {instances}, {requests_per_s}/s"
@@ -147,7 +140,7 @@
         shares.instances = vec![name.clone()];
     }
     let arrivals = overload(&mut fleet, limit, 1);
-    assert!(most_in_4_s(&arrivals) > allowed_in_4_s(limit));
+    assert!(most_in(4_000, &arrivals) > allowed_in_4_s(limit));
 }
 
 #[test]
@@ -165,7 +158,7 @@
             }
         }
         let arrivals = overload(&mut fleet, limit, 2);
-        let most = most_in_4_s(&arrivals);
+        let most = most_in(4_000, &arrivals);
         assert!(
             most <= allowed_in_4_s(limit),
             "{most}: {instances}, {requests_per_s}/s"
@@ -297,24 +290,12 @@
     slack: 5.0,
 };
 
-/// Instances that send to one cold endpoint, each with its own view of the fleet.
-struct ColdFleet {
-    names: Vec<Arc<str>>,
-    clocks_ahead_ms: Vec<u64>,
-    confirmed: Vec<bool>,
-    shares: Vec<Shares>,
-    permits: Vec<Permits>,
-}
-
-impl ColdFleet {
-    fn new(instances: usize, rate: ColdRate, parts: &[Part]) -> Self {
-        let fleet = Fleet::new(instances, rate.limit, parts);
+impl Fleet {
+    /// Returns instances that send to one cold endpoint.
+    fn cold(instances: usize, rate: ColdRate, parts: &[Part]) -> Self {
         Self {
-            confirmed: vec![true; instances],
             permits: vec![Permits::cold(rate, START_MS); instances],
-            names: fleet.names,
-            clocks_ahead_ms: fleet.clocks_ahead_ms,
-            shares: fleet.shares,
+            ..Self::new(instances, rate.limit, parts)
         }
     }
 
@@ -368,15 +349,6 @@
     }
 }
 
-/// Returns the largest number of arrivals in any sliding second.
-fn most_in_1_s(arrivals: &[u64]) -> usize {
-    let in_window = |first: usize| {
-        let end_ms = arrivals[first] + 1_000;
-        arrivals[first..].partition_point(|at_ms| *at_ms <= end_ms)
-    };
-    (0..arrivals.len()).map(in_window).max().unwrap_or(0)
-}
-
 /// Parts of a service that has callers, or runs samples, or both. Instance 0 runs all samples.
 fn random_parts(random: &mut ChaCha8Rng) -> Vec<Part> {
     let samples = Part::Samples {
@@ -401,7 +373,7 @@
             _ => random.random_range(1.0..60.0),
         };
         let rate = ColdRate::new(requests_per_s, COLD_BOUNDS, None);
-        let mut fleet = ColdFleet::new(instances, rate, &random_parts(&mut random));
+        let mut fleet = Fleet::cold(instances, rate, &random_parts(&mut random));
         if seed % 3 > 0 {
             fleet.cut_off(random.random_range(0..instances));
         }
@@ -409,7 +381,7 @@
             fleet.jump_clocks(instances.min(2), &mut random);
         }
         let pause_ms = random.random_range(1..2_000);
-        let most = most_in_1_s(&fleet.use_all(pause_ms, &mut random)) as f64;
+        let most = most_in(1_001, &fleet.use_all(pause_ms, &mut random)) as f64;
         let allowed = requests_per_s * COLD_BOUNDS.overshoot + COLD_BOUNDS.slack;
         assert!(most <= allowed, "seed {seed}: {most}, {allowed} allowed");
     }
@@ -422,7 +394,7 @@
     for instances in [1, 2, 12, 40] {
         let rate = ColdRate::new(COLD_PER_S, COLD_BOUNDS, None);
         assert_eq!(rate.requests_per_s(), COLD_PER_S);
-        let mut fleet = ColdFleet::new(instances, rate, &[Part::Callers]);
+        let mut fleet = Fleet::cold(instances, rate, &[Part::Callers]);
         let arrivals = fleet.use_all(100, &mut random(7));
         let expected = COLD_PER_S * 60.0;
         assert!(arrivals.len() as f64 >= expected - 2.0, "{instances}");
@@ -444,8 +416,8 @@
     for (overshoot, slack) in [(1.0, 0.0), (1.0, 5.0), (1.2, 2.0)] {
         let bounds = ColdBounds { overshoot, slack };
         let rate = ColdRate::new(COLD_PER_S, bounds, None);
-        let mut fleet = ColdFleet::new(12, rate, &[Part::Callers]);
-        let most = most_in_1_s(&fleet.use_all(700, &mut random(8))) as f64;
+        let mut fleet = Fleet::cold(12, rate, &[Part::Callers]);
+        let most = most_in(1_001, &fleet.use_all(700, &mut random(8))) as f64;
         assert!(most <= COLD_PER_S * overshoot + slack, "{most}, {bounds:?}");
         assert!(most >= 1.0);
     }
@@ -478,7 +450,7 @@
 /// Guards against an instance that goes on with all of its slots after the others gave them away.
 #[test]
 fn instance_is_confirmed_while_it_reads_and_is_heard() {
-    let ledger = ledger_of([crate::fleet::fixtures::heartbeat("front-1", 1)]);
+    let ledger = ledger_of([heartbeat("front-1", 1)]);
     let confirmed =
         |fleet_read_ms, now_ms| is_confirmed(&ledger, "front-1", fleet_read_ms, 2_600, now_ms);
     assert!(confirmed(500, 1_400));
