--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -21,7 +21,8 @@
         SampleResult,
         ScoringCall, //
     },
-    texts::TextLocation, //
+    texts::TextLocation,
+    warming::ColdReport, //
 };
 
 /// Applies a record to a ledger. A batch is registered first, and milestones are recorded.
@@ -163,6 +164,7 @@
         draining: false,
         versions: HashMap::from([("notes".into(), version)]),
         started_unix_ms: 1,
+        cold_left: ColdReport::NotStated,
     }
 }
 
@@ -174,3 +176,12 @@
         .for_each(|listing| endpoints.update(listing));
     endpoints
 }
+
+/// Returns the largest number of arrivals, in ascending order, in less than `window_ms`.
+pub(crate) fn most_in(window_ms: u64, arrivals: &[u64]) -> usize {
+    let in_window = |first: usize| {
+        let end_ms = arrivals[first] + window_ms;
+        arrivals[first..].partition_point(|at_ms| *at_ms < end_ms)
+    };
+    (0..arrivals.len()).map(in_window).max().unwrap_or(0)
+}
