--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -134,6 +134,9 @@
 /// Load reports older than this are ignored.
 const MAX_REPORT_AGE_MS: u64 = 500;
 
+/// Interval between two looks for cold periods that have ended. It bounds the work for each request.
+const EVALUATION_INTERVAL_MS: u64 = 20;
+
 /// Interval between two announcements of what an endpoint says by one instance.
 const ANNOUNCEMENT_INTERVAL_MS: u64 = 1_000;
 
@@ -233,6 +236,9 @@
     arena: Vec<Endpoint>,
     /// The newest endpoint with each id.
     by_id: HashMap<Arc<str>, EndpointKey>,
+    /// When the cold endpoints of a service were last evaluated, in wall-clock milliseconds. Cleared by
+    /// new evidence.
+    evaluated_ms: HashMap<Arc<str>, u64>,
     /// When the read of the list was sent whose records are applied now, in wall-clock milliseconds.
     list_read_ms: u64,
 }
@@ -246,6 +252,7 @@
 
     /// Applies the listing of one endpoint. Listings of earlier incarnations are ignored.
     pub fn update(&mut self, listing: Listing) {
+        self.evaluated_ms.clear();
         let mut notice = LeavingNotice::None;
         let mut warming = Warming::default();
         let mut cold_permits = None;
@@ -327,14 +334,18 @@
         let endpoint = &mut self.arena[key.0 as usize];
         endpoint.limit_known_ms = now_ms;
         let permits = &mut endpoint.permits;
-        match (permits.as_mut(), limit) {
+        let is_new = match (permits.as_mut(), limit) {
             (Some(permits), Some(limit)) => permits.set_limit(limit),
             (None, None) => false,
             (_, limit) => {
                 *permits = limit.map(|limit| Permits::new(limit, wall_ms));
                 true
             }
+        };
+        if is_new {
+            self.evaluated_ms.clear();
         }
+        is_new
     }
 
     /// Records that this instance tells the others what the endpoint says. Returns whether it may: it
@@ -372,6 +383,7 @@
     /// Records that a connection to an endpoint was refused, reset or broken. The endpoint may start
     /// again under the same id and address, which the list shows late.
     pub fn connection_failed(&mut self, key: EndpointKey) {
+        self.evaluated_ms.clear();
         self.arena[key.0 as usize].warming.connection_failed();
     }
 
@@ -382,6 +394,9 @@
 
     /// Records how long an endpoint stays cold, as its response says.
     pub fn cold_stated(&mut self, key: EndpointKey, report: ColdReport, wall_ms: u64) {
+        if report != ColdReport::NotStated {
+            self.evaluated_ms.clear();
+        }
         self.arena[key.0 as usize].warming.stated(report, wall_ms);
     }
 
@@ -395,6 +410,7 @@
         _now_ms: u64,
         wall_ms: u64,
     ) {
+        self.evaluated_ms.clear();
         for endpoint in &mut self.arena {
             let listing = &endpoint.listing;
             let service = configuration.services.get(&listing.service);
@@ -411,7 +427,8 @@
             .any(|(_, endpoint)| endpoint.is_limited())
     }
 
-    /// Evaluates which endpoints of a service are cold. Returns what has changed, for the log.
+    /// Evaluates which endpoints of a service are cold, unless it has just been done and there is no new
+    /// evidence. Returns what has changed, for the log.
     pub fn warm_up(
         &mut self,
         service: &str,
@@ -419,6 +436,11 @@
         bounds: ColdBounds,
         wall_ms: u64,
     ) -> Vec<(EndpointKey, Change)> {
+        let evaluated_ms = self.evaluated_ms.get(service);
+        if evaluated_ms.is_some_and(|at_ms| wall_ms < at_ms + EVALUATION_INTERVAL_MS) {
+            return Vec::new();
+        }
+        self.evaluated_ms.insert(service.into(), wall_ms);
         let mut changes = Vec::new();
         for key in self.by_id.values() {
             let endpoint = &mut self.arena[key.0 as usize];
