Evacuated failure domains, age of heartbeats, home regions

Cause: an operator could not take a failure domain out of use. The directory named instances that had long gone: a reader that started, changed its cell or came back after a cut took heartbeats of any age for new ones. Nothing decided where requests with home regions may run.

Change: the key evacuate/DOMAIN in keyed.op evacuates a domain (fleet/evacuation.rs). Records that were written while the newest ones were read are applied, too, so that a key which is rewritten meanwhile does not count as removed. fleet/addresses.rs bounds the age of a heartbeat by the read before it; an instance that leaves stays so for its incarnation. fleet/regions.rs has the decision on home regions; the choice of endpoints and the directory ask it, and no configuration fills it.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -5,12 +5,14 @@
 //! depend only on the ledger and the current time and use no sockets or clocks. The design is
 //! described in `docs/design/shared-store.md`.
 
+pub mod addresses;
 pub mod attempts;
 pub mod cells;
 pub mod checkpoints;
 pub mod choice;
 pub mod configuration;
 pub mod endpoints;
+pub mod evacuation;
 #[cfg(test)]
 pub(crate) mod fixtures;
 #[cfg(test)]
@@ -24,6 +26,7 @@
 pub mod policies;
 pub mod reach;
 pub mod record;
+pub mod regions;
 pub mod relays;
 pub mod sampling;
 pub mod scoring;
--- a/flamingoscale/src/fleet/configuration.rs
+++ b/flamingoscale/src/fleet/configuration.rs
@@ -5,6 +5,8 @@
     sync::Arc, //
 };
 
+use super::regions::HomeRegions;
+
 /// How the requests of a route are executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -112,6 +114,8 @@
     pub organisation_priorities: HashMap<Arc<str>, u32>,
     /// Size limits for requests of callers.
     pub limits: Limits,
+    /// Where requests may run; empty where no route and no organisation has home regions.
+    pub homes: HomeRegions,
 }
 
 /// Size limits for a request.
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -9,6 +9,11 @@
 };
 
 use super::{
+    evacuation::{
+        Evacuations,
+        Observation,
+        Written, //
+    },
     limits::{
         Permits,
         RateLimit, //
@@ -56,6 +61,8 @@
     pub delisted: bool,
     /// What the endpoint said in its answers about leaving.
     pub notice: LeavingNotice,
+    /// Whether the operator has evacuated the endpoint's failure domain.
+    pub evacuated: bool,
     /// Permits of this instance for requests to the endpoint; `None` while it names no limit.
     pub permits: Option<Permits>,
     /// When this instance last heard whether the endpoint names a limit, in monotonic milliseconds.
@@ -118,10 +125,13 @@
 const ANNOUNCEMENT_INTERVAL_MS: u64 = 1_000;
 
 impl Endpoint {
-    /// Returns whether the endpoint may get new work: it is listed, and neither the list nor the
-    /// endpoint itself says that it leaves.
+    /// Returns whether the endpoint may get new work: it is listed, its failure domain is not evacuated,
+    /// and neither the list nor the endpoint itself says that it leaves.
     pub fn accepts_work(&self) -> bool {
-        !self.delisted && !self.listing.draining && self.notice != LeavingNotice::Leaving
+        !self.delisted
+            && !self.evacuated
+            && !self.listing.draining
+            && self.notice != LeavingNotice::Leaving
     }
 
     /// Returns what the endpoint says of itself, as far as this instance knows.
@@ -162,12 +172,24 @@
     arena: Vec<Endpoint>,
     /// The newest endpoint with each id.
     by_id: HashMap<Arc<str>, EndpointKey>,
+    /// The evacuated failure domains, which also apply to endpoints that are listed later.
+    evacuations: Evacuations,
+}
+
+/// The endpoints of one failure domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DomainCount {
+    /// Number of listed endpoints.
+    pub endpoints: usize,
+    /// Requests of this instance in flight at them, or at earlier starts of them.
+    pub in_flight: u32,
 }
 
 impl Endpoints {
     /// Applies the listing of one endpoint. Listings of earlier incarnations are ignored.
     pub fn update(&mut self, listing: Listing) {
         let mut notice = LeavingNotice::None;
+        let evacuated = self.evacuations.contains(&listing.failure_domain);
         if let Some(key) = self.by_id.get(&listing.id) {
             let current = &mut self.arena[key.0 as usize];
             if current.listing.started_unix_ms > listing.started_unix_ms {
@@ -176,6 +198,7 @@
             let restarted = current.listing.started_unix_ms < listing.started_unix_ms;
             if !restarted && current.listing.address == listing.address {
                 current.listing = merge_listings(&current.listing, listing);
+                current.evacuated = evacuated;
                 current.delisted = false;
                 return;
             }
@@ -190,6 +213,7 @@
             listing,
             delisted: false,
             notice,
+            evacuated,
             permits: None,
             limit_known_ms: 0,
             announced_ms: 0,
@@ -212,6 +236,74 @@
         }
     }
 
+    /// Applies a record that evacuates a failure domain; see [`Evacuations::written`].
+    pub fn evacuate(
+        &mut self,
+        domain: &Arc<str>,
+        offset: u64,
+        malformed: bool,
+        now_ms: u64,
+    ) -> Written {
+        let written = self.evacuations.written(domain, offset, malformed, now_ms);
+        if written.begun {
+            self.mark_evacuated();
+        }
+        written
+    }
+
+    /// Applies the removal of a failure domain's key; see [`Evacuations::removed`].
+    pub fn end_evacuation(&mut self, domain: &str, offset: u64, now_ms: u64) -> Option<u64> {
+        let lasted_ms = self.evacuations.removed(domain, offset, now_ms)?;
+        self.mark_evacuated();
+        Some(lasted_ms)
+    }
+
+    /// Returns the evacuated failure domains.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns what has happened in evacuated failure domains since the last call; see
+    /// [`Evacuations::observe`].
+    pub fn observe_evacuations(&mut self, now_ms: u64) -> Vec<Observation> {
+        let mut evacuations = std::mem::take(&mut self.evacuations);
+        let count = |domain: &str| {
+            let count = self.count_domain(domain);
+            (count.endpoints, count.in_flight)
+        };
+        let observations = evacuations.observe(&count, now_ms);
+        self.evacuations = evacuations;
+        observations
+    }
+
+    /// Counts the endpoints of a failure domain and the requests of this instance there.
+    pub fn count_domain(&self, domain: &str) -> DomainCount {
+        let in_domain = |endpoint: &&Endpoint| *endpoint.listing.failure_domain == *domain;
+        let in_flight = self.arena.iter().filter(in_domain);
+        DomainCount {
+            endpoints: self
+                .listed()
+                .filter(|(_, endpoint)| in_domain(endpoint))
+                .count(),
+            in_flight: in_flight.map(|endpoint| endpoint.in_flight).sum(),
+        }
+    }
+
+    /// Returns whether a service has endpoints, and the failure domains of all of them are evacuated.
+    pub fn is_evacuated(&self, service: &str) -> bool {
+        let mut endpoints = self.of_service(service).peekable();
+        endpoints.peek().is_some() && endpoints.all(|(_, endpoint)| endpoint.evacuated)
+    }
+
+    /// Marks the endpoints of evacuated failure domains, also those that are no longer listed: a request
+    /// may have been chosen for them.
+    fn mark_evacuated(&mut self) {
+        for endpoint in &mut self.arena {
+            let domain = &endpoint.listing.failure_domain;
+            endpoint.evacuated = self.evacuations.contains(domain);
+        }
+    }
+
     /// Records what an endpoint said in an answer about leaving. Returns whether this is new, so that
     /// it is logged once.
     pub fn notice_received(&mut self, key: EndpointKey, notice: LeavingNotice) -> bool {
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -78,6 +78,11 @@
     pub heartbeat: Heartbeat,
     /// When this instance read the heartbeat, in milliseconds of its monotonic clock.
     pub seen_ms: u64,
+    /// The latest time at which this incarnation is known to have been alive, in milliseconds of the
+    /// monotonic clock of this instance; see [`HeartbeatReads::written_ms`].
+    ///
+    /// [`HeartbeatReads::written_ms`]: super::addresses::HeartbeatReads::written_ms
+    pub alive_ms: Option<u64>,
 }
 
 /// The incarnation and the send time of the most recent claim that was read from each instance.
@@ -407,19 +412,38 @@
         self.statements.insert(endpoint, next);
     }
 
-    /// Applies a heartbeat, from the fleet topic or from the cell of this instance.
+    /// Applies a heartbeat from the fleet topic, which may be of any age.
     pub fn apply_heartbeat(&mut self, heartbeat: Heartbeat, now_ms: u64) {
-        let is_older = self
-            .members
-            .get(&heartbeat.instance)
-            .is_some_and(|current| current.heartbeat.incarnation > heartbeat.incarnation);
-        if !is_older {
-            let seen_ms = now_ms;
-            self.members.insert(
-                heartbeat.instance.clone(),
-                MemberState { heartbeat, seen_ms },
-            );
+        self.apply_cell_heartbeat(heartbeat, None, now_ms);
+    }
+
+    /// Applies a heartbeat from the cell of this instance, which counts as written at `written_ms`.
+    ///
+    /// An instance that shuts down does not change its mind, but a heartbeat from before it did may be
+    /// read later from another topic.
+    pub fn apply_cell_heartbeat(
+        &mut self,
+        mut heartbeat: Heartbeat,
+        written_ms: Option<u64>,
+        now_ms: u64,
+    ) {
+        let mut alive_ms = written_ms;
+        if let Some(current) = self.members.get(&heartbeat.instance) {
+            if current.heartbeat.incarnation > heartbeat.incarnation {
+                return;
+            }
+            if current.heartbeat.incarnation == heartbeat.incarnation {
+                heartbeat.leaving |= current.heartbeat.leaving;
+                alive_ms = alive_ms.max(current.alive_ms);
+            }
         }
+        let member = MemberState {
+            seen_ms: now_ms,
+            alive_ms,
+            heartbeat,
+        };
+        let instance = member.heartbeat.instance.clone();
+        self.members.insert(instance, member);
     }
 
     /// Applies a message from an instance that holds or claims a lease.
--- a/flamingoscale/src/fleet/loads.rs
+++ b/flamingoscale/src/fleet/loads.rs
@@ -101,7 +101,8 @@
     ) -> Vec<LoadOrder> {
         let required = required_versions(ledger, latest_versions);
         let engines: Vec<_> = endpoints.of_service(service).collect();
-        let max_loading = ((engines.len() as f64 * MAX_LOADING_SHARE) as usize).max(2);
+        let in_use = engines.iter().filter(|(_, endpoint)| !endpoint.evacuated);
+        let max_loading = ((in_use.count() as f64 * MAX_LOADING_SHARE) as usize).max(2);
         self.pending.retain(|(key, model), (version, sent_ms)| {
             let endpoint = endpoints.get(*key);
             let loaded = endpoint
