--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -292,7 +292,9 @@
     /// Returns whether a service has endpoints, and the failure domains of all of them are evacuated.
     pub fn is_evacuated(&self, service: &str) -> bool {
         let mut endpoints = self.of_service(service).peekable();
-        endpoints.peek().is_some() && endpoints.all(|(_, endpoint)| endpoint.evacuated)
+        !self.evacuations.is_empty()
+            && endpoints.peek().is_some()
+            && endpoints.all(|(_, endpoint)| endpoint.evacuated)
     }
 
     /// Marks the endpoints of evacuated failure domains, also those that are no longer listed: a request
