Test of load orders while engines are evacuated

Cause: the share of engines that may load counts those in use since evacuations exist; no test looked at it. Change: ten of twenty engines are evacuated, then all.

--- a/flamingoscale/src/fleet/loads/tests.rs
+++ b/flamingoscale/src/fleet/loads/tests.rs
@@ -248,3 +248,23 @@
     assert_eq!(ordered, [endpoints.find("e1").unwrap()]);
     assert_eq!(due(&mut loads, &ledger, &endpoints, 2_000), 1);
 }
+
+/// Guards against orders to evacuated engines, and against too many loads among those that are left.
+#[test]
+fn evacuated_engines_neither_load_nor_count() {
+    let (ledger, mut endpoints) = assigned_engines(20);
+    let mut moved = listing("e0", "shams", 1);
+    for number in 0..10 {
+        moved.id = format!("e{number}").into();
+        endpoints.update(moved.clone());
+    }
+    endpoints.evacuate(&"saiq".into(), 1, false, 0);
+    let mut loads = LoadScheduler::default();
+    // A fifth of the ten engines that are left.
+    assert_eq!(due(&mut loads, &ledger, &endpoints, 0), 2);
+    endpoints.evacuate(&"shams".into(), 2, false, 0);
+    assert_eq!(
+        due(&mut LoadScheduler::default(), &ledger, &endpoints, 0),
+        0
+    );
+}
