Endpoints are ordered from the platform when some are lost or work is late

Cause: the number of endpoints that the operator started was kept, also when a part of them was gone for good. Change: fleet/renting.rs decides from the list of endpoints and the batches how many endpoints a service needs, in which failure domain and of which kind, and when they are given back; platform/src/renting.rs sends the orders under the control lease, after the record of each (Record::EndpointsOrdered, a/r/SERVICE/DOMAIN) was stored and read back. The listing has spot and leaves_ms; malformed values are ignored and logged once. Nothing is ordered without the duty autoscale, the policy rent_endpoints and the service's scaling.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -25,6 +25,7 @@
 pub mod reach;
 pub mod record;
 pub mod relays;
+pub mod renting;
 pub mod sampling;
 pub mod scoring;
 pub mod statements;
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -45,6 +45,10 @@
     pub versions: HashMap<Arc<str>, u64>,
     /// Start time in Unix milliseconds; distinguishes incarnations with the same id.
     pub started_unix_ms: u64,
+    /// Whether the endpoint is rented at a lower price and the platform may take it back.
+    pub spot: bool,
+    /// Time until the platform takes the endpoint back, as of the listing; `None` if it does not.
+    pub leaves_ms: Option<u64>,
 }
 
 /// One endpoint with its health and load as observed by this instance.
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -163,6 +163,8 @@
         draining: false,
         versions: HashMap::from([("notes".into(), version)]),
         started_unix_ms: 1,
+        spot: false,
+        leaves_ms: None,
     }
 }
 
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -33,6 +33,10 @@
         Removed,
         SampleResult, //
     },
+    renting::{
+        KnownSubject,
+        Subject, //
+    },
     statements::{
         Announced,
         Statement, //
@@ -122,6 +126,8 @@
     pub assignments: HashMap<Arc<str>, Arc<str>>,
     /// What instances have announced that endpoints say of themselves, by endpoint id.
     pub statements: HashMap<Arc<str>, Announced>,
+    /// What was ordered from the platform, by service and failure domain.
+    pub rented: BTreeMap<Subject, KnownSubject>,
     /// What instances said of their links to the endpoints, by name.
     links: HashMap<Arc<str>, InstanceLinks>,
     /// The services to which scoring calls were sent.
@@ -237,6 +243,15 @@
             Record::ScoringService { service } => {
                 self.scoring_services.insert(service);
             }
+            Record::EndpointsOrdered { subject, record } => {
+                let read = KnownSubject {
+                    record,
+                    seen_ms: now_ms,
+                };
+                let current = self.rented.get(&subject).copied();
+                let newest = current.map_or(read, |current| current.followed_by(read));
+                self.rented.insert(subject, newest);
+            }
             Record::TurnPassed { lease, term } => {
                 if let Some(state) = self.leases.get_mut(&lease) {
                     state.turn_passed |= state.term == term;
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -16,6 +16,10 @@
 
 use super::{
     limits::RateLimit,
+    renting::{
+        Subject,
+        SubjectRecord, //
+    },
     statements::Statement,
     texts::TextLocation, //
 };
@@ -491,6 +495,14 @@
         /// What the endpoint says.
         statement: Statement,
     },
+    /// What was there at the start of a subject, and the newest order for it. Written before the order
+    /// is sent.
+    EndpointsOrdered {
+        /// The service and the failure domain.
+        subject: Subject,
+        /// What the next holder of the control lease has to know.
+        record: SubjectRecord,
+    },
 }
 
 impl Record {
@@ -614,6 +626,9 @@
             }
             Self::Links { instance, .. } => format!("a/k/{instance}"),
             Self::StreamBegan { id, .. } => format!("{}{writer}", stream_key_prefix(id)),
+            Self::EndpointsOrdered { subject, .. } => {
+                format!("a/r/{}/{}", subject.service, subject.failure_domain)
+            }
         }
     }
 }
