An order for more endpoints never names fewer than were there at the start

Cause: found by a test that mixes losses, returns, refusals, late orders, an absent platform and new holders at random (seed 30): an order for one endpoint in a failure domain that had lost its three was carried out after these had come back, and took two of them. Change: an order names at least the count at the start of its failure domain and kind. The test stays, with 40 seeds; it also checks bounds, the interval between orders of a subject and the rule for spot endpoints at each order.

--- a/flamingoscale/src/fleet/renting/positions.rs
+++ b/flamingoscale/src/fleet/renting/positions.rs
@@ -257,7 +257,13 @@
         // Both kinds together have to reach the minimum of the failure domain.
         let to_minimum = scaling.min.saturating_sub(own.expected.total());
         let count = own.expected.of(kind) + added.max(to_minimum);
-        missing = missing.saturating_sub(added.max(to_minimum));
+        // Lost endpoints may come back, and an order for fewer than there were would then take them.
+        let count = count.max(own.initial.of(kind));
+        let added = count - own.expected.of(kind);
+        if own.expected.total() + added > scaling.max {
+            continue;
+        }
+        missing = missing.saturating_sub(added);
         targets.push((own.domain.clone(), kind, count, reason));
     }
     targets
--- a/flamingoscale/src/fleet/renting/tests.rs
+++ b/flamingoscale/src/fleet/renting/tests.rs
@@ -1,5 +1,11 @@
 //! Plays a service with batches against a platform that rents endpoints, and checks what is ordered.
 
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_chacha::ChaCha8Rng;
+
 use super::*;
 use crate::fleet::{
     configuration::Engines,
@@ -253,6 +259,14 @@
         let total = order.order.count + other as u32;
         assert!((scaling.min..=scaling.max).contains(&total), "{order:?}");
         assert!(!self.evacuated.contains(domain), "{order:?}");
+        let initial = order.record.initial.of(order.order.kind);
+        assert!(order.order.count >= initial, "{order:?}");
+        if order.order.kind == Kind::Spot && order.order.reason != Reason::Surplus {
+            assert!(
+                self.ready() - self.ids(domain, Kind::Spot).len() >= 9,
+                "{order:?}"
+            );
+        }
         let earlier = self.orders.iter().rev();
         let mut earlier = earlier.filter(|(_, earlier)| earlier.subject == order.subject);
         if let Some((at_ms, _)) = earlier.next() {
@@ -552,3 +566,47 @@
     println!("a decision takes {took_ms} ms of CPU time");
     assert!(took_ms < 25, "a decision took {took_ms} ms of CPU time");
 }
+
+/// Guards against faults that come together: losses and returns, refusals, late orders, a platform that is
+/// away, and new holders, at random. Once they end and there is room, nothing is rented and orders stop.
+#[test]
+fn any_mixture_of_faults_ends_with_what_was_there() {
+    for seed in 0..40 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut game = Game::new(random.random_range(0.5..1.3));
+        game.run(10_000);
+        let mut lost = Vec::new();
+        for _ in 0..60 {
+            let domain = ["a", "b", "c"][random.random_range(0..3)];
+            let left = game.ids(domain, Kind::Regular).len();
+            match random.random_range(0..8) {
+                0 if left > 0 => {
+                    let count = random.random_range(0..3);
+                    game.lose(domain, Kind::Regular, count);
+                    lost.extend(vec![domain; count.min(left)]);
+                }
+                1 => lost
+                    .drain(..)
+                    .for_each(|domain| game.start_endpoint(domain, Kind::Regular)),
+                2 => game.lose(domain, Kind::Spot, 9),
+                3 => game.answer = Answer::Late(random.random_range(1_000..30_000)),
+                4 => game.answer = Answer::NotSent,
+                5 => game.answer = Answer::Accept,
+                6 => game.sold_out = vec![domain],
+                _ => game.replace_holder(),
+            }
+            game.run(random.random_range(1_000..15_000));
+        }
+        lost.drain(..)
+            .for_each(|domain| game.start_endpoint(domain, Kind::Regular));
+        (game.answer, game.sold_out, game.load) = (Answer::Accept, Vec::new(), 0.1);
+        game.run(400_000);
+        let orders = game.orders.len();
+        game.run(100_000);
+        assert_eq!(game.orders.len(), orders, "seed {seed}");
+        for domain in ["a", "b", "c"] {
+            let left = [Kind::Regular, Kind::Spot].map(|kind| game.ids(domain, kind).len());
+            assert_eq!(left, [3, 0], "seed {seed}");
+        }
+    }
+}
