--- a/flamingoscale/src/fleet/renting/positions.rs
+++ b/flamingoscale/src/fleet/renting/positions.rs
@@ -43,7 +43,8 @@
         let mut supply = Self::default();
         for (_, endpoint) in view.endpoints.of_service(&view.service.name) {
             let listing = &endpoint.listing;
-            supply.reclaimed += u32::from(listing.spot && listing.leaves_ms.is_some());
+            let is_reclaimed = listing.spot && listing.draining && listing.leaves_ms.is_some();
+            supply.reclaimed += u32::from(is_reclaimed);
             let domain = &listing.failure_domain;
             if !endpoint.accepts_work() || view.evacuated.contains(domain) {
                 continue;
