--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -28,6 +28,7 @@
 pub mod record;
 pub mod regions;
 pub mod relays;
+pub mod renting;
 pub mod sampling;
 pub mod scoring;
 pub mod statements;
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -65,6 +65,10 @@
     pub started_unix_ms: u64,
     /// How long the endpoint stays cold, as the record says.
     pub cold_left: ColdReport,
+    /// Whether the endpoint is rented at a lower price and the platform may take it back.
+    pub spot: bool,
+    /// Time until the platform takes the endpoint back, as of the listing; `None` if it does not.
+    pub leaves_ms: Option<u64>,
 }
 
 /// One endpoint with its health and load as observed by this instance.
--- a/flamingoscale/src/fleet/evacuation.rs
+++ b/flamingoscale/src/fleet/evacuation.rs
@@ -70,6 +70,11 @@
         self.by_domain.is_empty()
     }
 
+    /// Returns the evacuated failure domains.
+    pub fn domains(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.by_domain.keys()
+    }
+
     /// Applies a record that evacuates a failure domain. A domain without a name is ignored.
     ///
     /// The record is applied whatever its offset: a topic that was created anew starts again at 0.
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -165,6 +165,8 @@
         versions: HashMap::from([("notes".into(), version)]),
         started_unix_ms: 1,
         cold_left: ColdReport::NotStated,
+        spot: false,
+        leaves_ms: None,
     }
 }
 
