Samples are placed by slots, memory and cached prompt prefixes

Cause: pick_engine counted slots only, so engines refused or preempted runs for lack of memory, and the samples of a group prefilled their shared prompt on many engines.

With prefixes = on, fleet/prefixes.rs tracks what each engine has cached: an engine with a free slot goes on with the groups whose prompts it has.

--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -143,6 +143,13 @@
         self.listing.versions.get(model).copied()
     }
 
+    /// Returns a number that grows with each load of weights that is known. A load discards what the
+    /// endpoint has cached.
+    pub fn weight_loads(&self) -> u64 {
+        let versions = self.listing.versions.values();
+        versions.fold(0, |sum, version| sum.wrapping_add(*version))
+    }
+
     /// Returns the estimated number of requests that all instances have at the endpoint.
     pub fn load(&self, now_ms: u64) -> u32 {
         let fresh = now_ms.saturating_sub(self.load_reported_ms) < MAX_REPORT_AGE_MS;
--- a/flamingoscale/src/fleet/fixtures.rs
+++ b/flamingoscale/src/fleet/fixtures.rs
@@ -11,6 +11,7 @@
         Listing, //
     },
     ledger::Ledger,
+    prefixes::Prompt,
     record::{
         Batch,
         Heartbeat,
@@ -79,6 +80,25 @@
     }))
 }
 
+/// Adds prompts to the samples of a batch: `list(group, sample)` names the prompt parts of a sample.
+pub(crate) fn with_prompts(batch: Record, list: impl Fn(&str, &str) -> String) -> Record {
+    let Record::Batch(mut batch) = batch else {
+        return batch;
+    };
+    for sample in &mut Arc::make_mut(&mut batch).samples {
+        let list = list(&sample.group, &sample.id);
+        sample.headers.push(("prompt".into(), list.into()));
+    }
+    Record::Batch(batch)
+}
+
+/// Reads the prompt that [`with_prompts`] added. The output tokens have no limit.
+pub(crate) fn read_prompt(model: &str, sample: &Sample) -> (Option<Prompt>, u32) {
+    let prompt = sample.headers.iter().find(|(name, _)| &**name == "prompt");
+    let parsed = prompt.map(|(_, list)| Prompt::parse(model, list, 0).ok());
+    (parsed.unwrap_or_else(|| Some(Prompt::default())), 0)
+}
+
 /// Returns the records of a batch like that of [`batch`], whose samples need a score.
 pub(crate) fn scored_batch(id: &str, step: u64, groups: usize) -> Vec<Record> {
     let Record::Batch(unscored) = batch(id, step, groups, |_, _| 10) else {
--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -87,10 +87,10 @@
     }
     let ledger = ledger_of(vec![earlier_batch, returned_batch]);
     let state = &ledger.batches["b2"];
-    let order = start_order(state, &ledger);
+    let order = start_positions(state, &ledger);
     let groups: Vec<&str> = order
         .iter()
-        .map(|index| &*state.batch.samples[*index].group)
+        .map(|position| &*state.batch.samples[position.index].group)
         .collect();
     // The trainer waits for 9 of 10 groups: g0 was submitted before, g9 is the longest group and g8
     // the second longest.
@@ -213,7 +213,13 @@
     assert_eq!(of_sample(&started), Some(second));
     let better = |endpoints: &Endpoints| {
         let state = &ledger.batches["b"];
-        has_better_engine(&ledger, endpoints, "drafting", state, first, 0)
+        Sampler::default().has_better_engine(
+            &ledger,
+            endpoints,
+            ("drafting", state),
+            (&id, first),
+            0,
+        )
     };
     assert!(better(&endpoints));
     endpoints.request_sent(second);
@@ -242,8 +248,13 @@
     let [first, second] = ["e1", "e2"].map(|id| endpoints.find(id).unwrap());
     (0..4).for_each(|_| endpoints.request_sent(second));
     let state = &ledger.batches["b"];
-    assert!(!has_better_engine(
-        &ledger, &endpoints, "drafting", state, first, 0
+    let id: SampleId = ("b".into(), "s0.0".into());
+    assert!(!Sampler::default().has_better_engine(
+        &ledger,
+        &endpoints,
+        ("drafting", state),
+        (&id, first),
+        0
     ));
 }
 
@@ -257,8 +268,8 @@
     mixed.wanted_groups = 4;
     mixed.samples[2].scoring = Some(scoring_call("s1.0"));
     let ledger = ledger_of(mixed.into_records(1 << 16));
-    let order = start_order(&ledger.batches["b"], &ledger);
-    assert_eq!(order[0], 2);
+    let order = start_positions(&ledger.batches["b"], &ledger);
+    assert_eq!(order[0].index, 2);
 }
 
 #[test]
--- a/flamingoscale/src/metrics.rs
+++ b/flamingoscale/src/metrics.rs
@@ -95,6 +95,12 @@
         self.events.get_or_create(&label).inc();
     }
 
+    /// Counts `amount` events of a kind.
+    pub fn count_by(&self, kind: &str, amount: u64) {
+        let label = KindLabel { kind: kind.into() };
+        self.events.get_or_create(&label).inc_by(amount);
+    }
+
     /// Records a duration of a kind, in milliseconds.
     pub fn observe_duration(&self, kind: &str, duration_ms: u64) {
         let label = KindLabel { kind: kind.into() };
