Streams that name prompt parts prefer endpoints that have them cached

Cause: callers' streams prefill shared prompt parts on whichever endpoint is least loaded; and the memory estimate took runs that outlast their estimate for finished.

Change: among endpoints that are otherwise equal a stream goes to one that has its prompt cached. A run that seems to have reached its limit keeps its memory for a quarter of its output.

--- a/flamingoscale/src/fleet/placement.rs
+++ b/flamingoscale/src/fleet/placement.rs
@@ -72,6 +72,9 @@
 /// A run that has exceeded its estimate is expected to generate this fraction of its output more.
 const OVERDUE_DIVISOR: u64 = 4;
 
+/// Largest output of a run without a limit, relative to the memory that is set aside for it.
+const MOST_OUTPUT_FACTOR: u64 = 2;
+
 /// Weight of the newest run in the average time of a token. Estimates of single runs are often far off.
 const SMOOTHING: f64 = 0.05;
 
@@ -110,14 +113,20 @@
     }
 
     /// Returns how many more tokens a run is expected to generate. One that has exceeded its estimate
-    /// goes on for a part of what it has generated.
+    /// goes on for a part of what it has generated, even if it seems to have reached its limit:
+    /// `generated` is an estimate, too, and a run that was taken to be over would lose its memory.
     fn remaining_tokens(&self, generated: u64) -> u64 {
         let estimated = u64::from(self.reserved_tokens).saturating_sub(generated);
-        let left = match self.max_output_tokens {
-            0 => u64::MAX,
-            max_tokens => u64::from(max_tokens).saturating_sub(generated),
-        };
-        estimated.max(generated / OVERDUE_DIVISOR).min(left)
+        estimated.max(generated / OVERDUE_DIVISOR)
+    }
+
+    /// Returns how many tokens a run generates at most. Without a limit this is a multiple of the
+    /// estimate, so that a run that stalls does not seem to fill the engine.
+    fn most_output_tokens(&self) -> u64 {
+        match self.max_output_tokens {
+            0 => u64::from(self.reserved_tokens).saturating_mul(MOST_OUTPUT_FACTOR),
+            max_tokens => u64::from(max_tokens),
+        }
     }
 }
 
@@ -191,8 +200,9 @@
     fn peak_tokens(&self, added: &Needs, ms_per_token: f64, now_ms: u64) -> u64 {
         let tokens_now = |run: &Run| {
             let elapsed_ms = now_ms.saturating_sub(run.started_ms) as f64;
-            let generated = (elapsed_ms / ms_per_token) as u64;
             let needs = &run.needs;
+            let generated = (elapsed_ms / ms_per_token) as u64;
+            let generated = generated.min(needs.most_output_tokens());
             let rest = needs.remaining_tokens(generated);
             (rest, needs.own_prompt_tokens() + generated)
         };
@@ -490,6 +500,45 @@
         is_shared.then(|| prompt.shared_tokens().saturating_sub(cached_tokens))
     }
 
+    /// Returns how much of a prompt an endpoint is expected to have cached.
+    pub fn expected_prompt(
+        &self,
+        endpoints: &Endpoints,
+        key: EndpointKey,
+        prompt: &Prompt,
+    ) -> Expectation {
+        let endpoint = endpoints.get(key);
+        let prefixes = self.prefixes.as_ref();
+        let cached_tokens = prefixes.map_or(0, |held| held.cached_tokens(key, endpoint, prompt));
+        Expectation {
+            cached_tokens,
+            prefilled_tokens: prompt.tokens.saturating_sub(cached_tokens),
+            ..Expectation::default()
+        }
+    }
+
+    /// Returns whether an endpoint is as good as the chosen one for a caller's request, and has more of
+    /// the prompt cached. What that saves is less than what one more request at the endpoint costs.
+    pub fn is_better_cached(
+        &self,
+        endpoints: &Endpoints,
+        key: EndpointKey,
+        chosen: EndpointKey,
+        prompt: &Prompt,
+        now_ms: u64,
+    ) -> bool {
+        let (other, current) = (endpoints.get(key), endpoints.get(chosen));
+        let share = |endpoint: &Endpoint| {
+            f64::from(endpoint.load(now_ms)) / f64::from(endpoint.listing.slots.max(1))
+        };
+        let is_as_good = share(other) <= share(current)
+            && other.response_ms <= NORMAL_PACE_FACTOR * current.response_ms.max(1.0)
+            && other.listing.failure_domain == current.listing.failure_domain
+            && other.in_backoff(now_ms) <= current.in_backoff(now_ms);
+        let cached = |key| self.expected_prompt(endpoints, key, prompt).cached_tokens;
+        is_as_good && cached(key) > cached(chosen)
+    }
+
     /// Records that a run starts and returns what is expected of it.
     pub(super) fn started(
         &mut self,
@@ -499,19 +548,16 @@
         now_ms: u64,
     ) -> Expectation {
         let prompt = &needs.prompt;
-        let endpoint = endpoints.get(key);
-        let prefixes = self.prefixes.as_ref();
-        let cached_tokens = prefixes.map_or(0, |held| held.cached_tokens(key, endpoint, prompt));
+        let expected = self.expected_prompt(endpoints, key, prompt);
         self.in_use.entry(key).or_default().add(needs, now_ms);
         self.prompt_used(endpoints, key, prompt);
         Expectation {
-            cached_tokens,
-            prefilled_tokens: prompt.tokens.saturating_sub(cached_tokens),
             memory_tokens: needs.memory_tokens(),
             time_ms: match self.policy {
                 PlacementPolicy::Slots => 0,
                 PlacementPolicy::Room => cost as u64,
             },
+            ..expected
         }
     }
 
--- a/flamingoscale/src/fleet/placement/tests.rs
+++ b/flamingoscale/src/fleet/placement/tests.rs
@@ -221,6 +221,21 @@
     }
 }
 
+/// Guards against a stream that goes to an endpoint with more load for the sake of its cache.
+#[test]
+fn stream_goes_to_the_cached_prompt_only_among_equals() {
+    let mut sampler = sampler(ROOM, 1 << 20);
+    let placement = sampler.placement();
+    let mut engines = engines(2, 4);
+    let [plain, cached] = ["e0", "e1"].map(|id| engines.find(id).unwrap());
+    let prompt = Prompt::parse("", "a:100,1:1", 0).unwrap();
+    placement.prompt_used(&engines, cached, &prompt);
+    assert!(placement.is_better_cached(&engines, cached, plain, &prompt, 0));
+    assert!(!placement.is_better_cached(&engines, plain, cached, &prompt, 0));
+    engines.request_sent(cached);
+    assert!(!placement.is_better_cached(&engines, cached, plain, &prompt, 0));
+}
+
 #[test]
 fn malformed_prompt_is_noted_once_a_batch_and_the_sample_starts() {
     let prompts = with_prompts(batch("b", 1, 2, |_, _| 10), |_, _| "zz:1".into());
