--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -199,7 +199,7 @@
             let started_ms = self.placement.finished(endpoint, needs);
             let took_ms = started_ms.map(|started_ms| now_ms.saturating_sub(started_ms));
             match took_ms {
-                Some(took_ms) if progress.finished && !progress.resumed => {
+                Some(took_ms) if progress.finished && !progress.resumed && events > 0 => {
                     self.placement.completed(needs, took_ms);
                 }
                 _ if events == 0 => self.placement.not_run(endpoint, &needs.prompt),
@@ -407,7 +407,8 @@
 
     /// Returns a sample that should start on the engine before the one at `place`, whose shared prompt
     /// parts the engine does not have cached: one whose parts it has, or one of a group that no engine
-    /// has begun if another engine has the parts of the one at `place`. Both are equally urgent.
+    /// has begun if another engine has the parts of the one at `place`. Both are equally urgent, and the
+    /// one at `place` has no text yet.
     fn better_fit(
         &mut self,
         pass: &mut Pass<'_>,
@@ -419,7 +420,11 @@
         let endpoints = pass.endpoints;
         let prompt = &current.needs.prompt;
         let uncached_tokens = self.placement.uncached_tokens(endpoints, engine, prompt)?;
-        let overtaken = self.progress(&current.id).overtaken;
+        let progress = self.progress(&current.id);
+        if progress.resumed {
+            return None;
+        }
+        let overtaken = progress.overtaken;
         let max_overtaken =
             MAX_OVERTAKEN_PER_ENGINE * endpoints.of_service(&current.service).count();
         if uncached_tokens == 0 || overtaken >= max_overtaken {
