Moves by expected rest, and the speed that load reports tell

Cause: runs left slow engines after some events that took 1.7 times as long as usual. That is about 0.5 s, when a short slowdown of 0.6 s is almost over, and a run with one event left moved as well.

Change: with move_samples = expected_rest, the remaining time here is compared with that at another engine with a free slot, including the restart. A slowdown is expected to last as much longer as earlier ones of the service did, or as long again. The run starts at the engine that was compared. Load reports with a fourth figure say how long work takes; lookups and moves use it by its age.

Not yet played with real processes.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -20,6 +20,7 @@
 pub mod limits;
 pub mod loads;
 pub mod migration;
+pub mod pace;
 pub mod pacing;
 pub mod policies;
 pub mod reach;
--- a/flamingoscale/src/fleet/choice.rs
+++ b/flamingoscale/src/fleet/choice.rs
@@ -20,6 +20,9 @@
 /// short direct request, takes 25 ms on average.
 const TYPICAL_RESPONSE_MS: f64 = 30.0;
 
+/// Duration of a lookup at usual speed.
+const LOOKUP_MS: f64 = 25.0;
+
 /// Returns the endpoint of a service that is expected to respond first, or `None` if no endpoint that
 /// `is_candidate` admits accepts work within its request limit.
 pub fn choose(
@@ -40,6 +43,7 @@
                 0.0 => 1.0,
                 response_ms => (response_ms / TYPICAL_RESPONSE_MS).max(1.0),
             };
+            let slowdown = slowdown * endpoint.work_factor(LOOKUP_MS, now_ms);
             let domain_cost = if *listing.failure_domain == *failure_domain {
                 0.0
             } else {
@@ -59,6 +63,12 @@
         .map(|(key, _)| key)
 }
 
+/// Returns whether a hedged attempt may go to the endpoint: not if it names a request limit, and not
+/// while it reports that its machine is slow, since the first attempt is likely to end before.
+pub fn fits_hedge(endpoint: &Endpoint, now_ms: u64) -> bool {
+    endpoint.permits.is_none() && endpoint.is_machine_slow(now_ms) != Some(true)
+}
+
 /// Returns the delay, in milliseconds, after which an unanswered request is also sent to a second
 /// endpoint: half of the target time, but at least 20 ms. The other half of the target time is left
 /// for the second attempt.
--- a/flamingoscale/src/fleet/choice/tests.rs
+++ b/flamingoscale/src/fleet/choice/tests.rs
@@ -54,3 +54,22 @@
     draining_listing.draining = true;
     assert_eq!(choose_untried(&endpoints(&[draining_listing]), &[]), None);
 }
+
+/// Guards against lookups that wait for a slow machine, and against a choice by reports of slowdowns
+/// that are over.
+#[test]
+fn endpoint_on_a_slow_machine_is_avoided_while_its_report_is_fresh() {
+    let mut endpoints = endpoints(&[listing("a", "saiq", 1), listing("b", "saiq", 1)]);
+    let [a, b] = ["a", "b"].map(|id| endpoints.find(id).unwrap());
+    for key in [a, b] {
+        endpoints.work_factor_reported(key, 1.0, 0);
+    }
+    assert_eq!(choose_untried(&endpoints, &[]), Some(a));
+    endpoints.work_factor_reported(a, 2.5, 990);
+    assert_eq!(choose_untried(&endpoints, &[]), Some(b));
+    assert!(!fits_hedge(endpoints.get(a), 1_000) && fits_hedge(endpoints.get(b), 1_000));
+    // A busy endpoint is no better than a slow one, and an old report says little.
+    (0..3).for_each(|_| endpoints.request_sent(b));
+    assert_eq!(choose_untried(&endpoints, &[]), Some(a));
+    assert!(fits_hedge(endpoints.get(a), 1_500));
+}
--- a/flamingoscale/src/fleet/endpoints.rs
+++ b/flamingoscale/src/fleet/endpoints.rs
@@ -14,6 +14,7 @@
         RateLimit, //
     },
     migration::Pace,
+    pace::MachineSpeed,
     statements::{
         Announced,
         Statement, //
@@ -82,6 +83,10 @@
     /// Moving average of the time between two events of a stream in milliseconds; 0 if none was
     /// observed.
     pub event_ms: f64,
+    /// How long work takes on the machine, if the endpoint reports it.
+    pub machine: Option<MachineSpeed>,
+    /// Whether a part of a load report could not be interpreted.
+    pub load_malformed: bool,
 }
 
 /// What an endpoint said about itself in its answers. This holds for one incarnation of the endpoint:
@@ -149,6 +154,19 @@
         self.in_flight + if fresh { self.other_load } else { 0 }
     }
 
+    /// Returns how long work that takes about `duration_ms` is expected to take on the endpoint's
+    /// machine, relative to the usual time.
+    pub fn work_factor(&self, duration_ms: f64, now_ms: u64) -> f64 {
+        let machine = self.machine.as_ref();
+        machine.map_or(1.0, |machine| machine.expected_factor(duration_ms, now_ms))
+    }
+
+    /// Returns whether the endpoint has just reported that its machine is slow, or that it is not;
+    /// `None` without a recent report.
+    pub fn is_machine_slow(&self, now_ms: u64) -> Option<bool> {
+        self.machine.as_ref()?.is_slow(now_ms)
+    }
+
     /// Returns whether the endpoint is in backoff after a failure.
     pub fn in_backoff(&self, now_ms: u64) -> bool {
         now_ms < self.backoff_until_ms
@@ -202,6 +220,8 @@
             unreachable: false,
             response_ms: 0.0,
             event_ms: 0.0,
+            machine: None,
+            load_malformed: false,
         });
     }
 
@@ -432,6 +452,18 @@
         endpoint.load_reported_ms = now_ms;
     }
 
+    /// Records how long work takes on the endpoint's machine, relative to the usual time.
+    pub fn work_factor_reported(&mut self, key: EndpointKey, factor: f64, now_ms: u64) {
+        let machine = &mut self.arena[key.0 as usize].machine;
+        *machine = Some(MachineSpeed::reported(*machine, factor, now_ms));
+    }
+
+    /// Records that a load report could not be interpreted. Returns whether this is the endpoint's
+    /// first one, so that it is logged once.
+    pub fn load_ignored(&mut self, key: EndpointKey) -> bool {
+        !std::mem::replace(&mut self.arena[key.0 as usize].load_malformed, true)
+    }
+
     /// Records a version of a model's weights that the endpoint is known to have loaded.
     pub fn observe_version(&mut self, key: EndpointKey, model: &Arc<str>, version: u64) {
         let versions = &mut self.arena[key.0 as usize].listing.versions;
--- a/flamingoscale/src/fleet/migration.rs
+++ b/flamingoscale/src/fleet/migration.rs
@@ -4,6 +4,16 @@
 //! the prompt and the text so far again, which takes a few tens of milliseconds. An engine that
 //! loads weights generates nothing for 0.9 s, and a slow engine takes several times as long for
 //! each event.
+//!
+//! [`move_reason`] decides by the time between events alone. [`expected_rest`] compares the expected
+//! remaining time here and elsewhere; `docs/design/pace.md` compares the two.
+
+pub mod expected_rest;
+pub mod experience;
+
+/// Number of latest intervals between events that a run keeps. Longer slowdowns than these intervals
+/// cover are certain to count as lasting.
+const KEPT_INTERVALS: usize = 16;
 
 /// Measures the time between the events of one run on an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -12,8 +22,12 @@
     pub events: u64,
     /// Time of the last event, in monotonic milliseconds.
     pub last_event_ms: u64,
+    /// Time of the first event, in monotonic milliseconds.
+    pub first_event_ms: u64,
     /// Exponential moving average of the time between two events, in milliseconds.
     average_interval_ms: f64,
+    /// The latest intervals in milliseconds, as a ring: interval `n` is at `n % KEPT_INTERVALS`.
+    recent_ms: [u16; KEPT_INTERVALS],
 }
 
 /// Weight of the newest interval in the moving average. An engine that becomes slow is detected
@@ -23,7 +37,15 @@
 impl Pace {
     /// Records an event.
     pub fn record_event(&mut self, now_ms: u64) {
-        let interval_ms = now_ms.saturating_sub(self.last_event_ms) as f64;
+        let interval = now_ms.saturating_sub(self.last_event_ms);
+        let interval_ms = interval as f64;
+        match self.events {
+            0 => self.first_event_ms = now_ms,
+            number => {
+                let position = (number - 1) as usize % KEPT_INTERVALS;
+                self.recent_ms[position] = u16::try_from(interval).unwrap_or(u16::MAX);
+            }
+        }
         self.average_interval_ms = match self.events {
             0 => 0.0,
             1 => interval_ms,
@@ -38,6 +60,15 @@
     pub fn smoothed_interval_ms(&self) -> Option<f64> {
         (self.events > 1).then_some(self.average_interval_ms)
     }
+
+    /// Returns the latest intervals in milliseconds, newest first.
+    pub fn recent_intervals_ms(&self) -> impl Iterator<Item = f64> + '_ {
+        let intervals = self.events.saturating_sub(1);
+        let kept = intervals.min(KEPT_INTERVALS as u64);
+        (intervals - kept..intervals)
+            .rev()
+            .map(|number| f64::from(self.recent_ms[number as usize % KEPT_INTERVALS]))
+    }
 }
 
 /// Minimum time without an event after which a run is stalled. Shorter gaps occur when the engine
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -52,6 +52,9 @@
 /// Cost of an engine that is in backoff after a failure; higher than the cost of any other engine.
 const BACKOFF_COST: f64 = 3.0;
 
+/// Number of reserved slots that makes an engine count as full, whatever it has.
+pub const FULL: u32 = 1 << 20;
+
 /// Time that scoring adds to a sample, as the number of output tokens that take as long: a scoring
 /// call takes about 30 ms, a token 0.6 ms.
 const SCORING_TOKENS: u32 = 50;
@@ -72,6 +75,8 @@
     /// The engine that the sample was most recently moved away from. The sample returns to that
     /// engine only if no other engine has room.
     pub previous_engine: Option<EndpointKey>,
+    /// The engine that the move was decided for. The sample starts there if it still has room.
+    pub next_engine: Option<EndpointKey>,
     /// How often the sample was moved to another engine.
     pub moves: u32,
 }
@@ -183,8 +188,19 @@
                     // Running again on the previous engine is better than not running.
                     find(progress.previous_engine).or_else(|| find(None))
                 };
-                let same_software = software.as_deref().and_then(|name| engine(Some(name)));
-                let Some(endpoint) = same_software.or_else(|| engine(None)) else {
+                let decided = progress.next_engine.take().and_then(|only| {
+                    let query = EngineQuery {
+                        service: &service,
+                        state,
+                        software: software.as_deref(),
+                        excluded: None,
+                    };
+                    let reserved = reserve_others(endpoints, &service, only, &reserved);
+                    pick_engine(ledger, endpoints, &query, &reserved, now_ms)
+                });
+                let same_software = || software.as_deref().and_then(|name| engine(Some(name)));
+                let found = decided.or_else(same_software).or_else(|| engine(None));
+                let Some(endpoint) = found else {
                     break;
                 };
                 *reserved.entry(endpoint).or_default() += 1;
@@ -278,15 +294,44 @@
     excluded: EndpointKey,
     now_ms: u64,
 ) -> bool {
+    let run = (service, state, excluded);
+    let engine = other_engine(ledger, endpoints, run, &HashMap::new(), now_ms);
+    let median_ms = median_event_ms(endpoints, service);
+    engine.is_some_and(|key| endpoints.get(key).event_ms <= NORMAL_PACE_FACTOR * median_ms)
+}
+
+/// Returns the reserved slots with all engines of the service as full except one.
+fn reserve_others(
+    endpoints: &Endpoints,
+    service: &str,
+    only: EndpointKey,
+    reserved: &HashMap<EndpointKey, u32>,
+) -> HashMap<EndpointKey, u32> {
+    let slots = |key| match key == only {
+        true => reserved.get(&key).copied().unwrap_or(0),
+        false => FULL,
+    };
+    let engines = endpoints.of_service(service);
+    engines.map(|(key, _)| (key, slots(key))).collect()
+}
+
+/// Returns the engine on which a sample of the service and batch that runs on the `excluded` engine
+/// would continue, or `None` if no other engine has room. `reserved` are slots that count as
+/// occupied.
+pub fn other_engine(
+    ledger: &Ledger,
+    endpoints: &Endpoints,
+    (service, state, excluded): (&str, &BatchState, EndpointKey),
+    reserved: &HashMap<EndpointKey, u32>,
+    now_ms: u64,
+) -> Option<EndpointKey> {
     let query = EngineQuery {
         service,
         state,
         software: Some(&endpoints.get(excluded).listing.software),
         excluded: Some(excluded),
     };
-    let engine = pick_engine(ledger, endpoints, &query, &HashMap::new(), now_ms);
-    let median_ms = median_event_ms(endpoints, service);
-    engine.is_some_and(|key| endpoints.get(key).event_ms <= NORMAL_PACE_FACTOR * median_ms)
+    pick_engine(ledger, endpoints, &query, reserved, now_ms)
 }
 
 /// An engine counts as slow if its events take more than this multiple of the median time.
@@ -295,6 +340,18 @@
 /// Returns the median time between two events over the engines of a service, in milliseconds;
 /// infinity if no engine has a known time.
 pub fn median_event_ms(endpoints: &Endpoints, service: &str) -> f64 {
+    event_ms_at(endpoints, service, 2)
+}
+
+/// Returns the time between two events that a quarter of the engines of a service keep, in
+/// milliseconds; infinity if no engine has a known time. It stays usual while half of them are slow.
+pub fn usual_event_ms(endpoints: &Endpoints, service: &str) -> f64 {
+    event_ms_at(endpoints, service, 4)
+}
+
+/// Returns the time between two events of the engine that stands at `1 / divisor` of the engines of
+/// a service, fastest first.
+fn event_ms_at(endpoints: &Endpoints, service: &str, divisor: usize) -> f64 {
     let mut intervals_ms: Vec<f64> = endpoints
         .of_service(service)
         .map(|(_, endpoint)| endpoint.event_ms)
@@ -302,7 +359,7 @@
         .collect();
     intervals_ms.sort_by(f64::total_cmp);
     intervals_ms
-        .get(intervals_ms.len() / 2)
+        .get(intervals_ms.len() / divisor)
         .copied()
         .unwrap_or(f64::INFINITY)
 }
