--- a/flamingoscale/src/fleet/sampling/tests.rs
+++ b/flamingoscale/src/fleet/sampling/tests.rs
@@ -225,6 +225,29 @@
     assert_eq!(of_sample(&started), Some(first));
 }
 
+/// Guards against a moved run that starts on another slow engine, and against one that waits for an
+/// engine that has filled up.
+#[test]
+fn moved_sample_starts_on_the_engine_that_was_decided() {
+    let names = ["e1", "e2", "e3"];
+    let ledger = ledger_of(vec![assign(&names), batch("b", 1, 1, |_, _| 10)]);
+    let mut endpoints = endpoints(&names.map(|id| listing(id, "saiq", 1)));
+    let [first, second, third] = names.map(|id| endpoints.find(id).unwrap());
+    let id: SampleId = ("b".into(), "s0.0".into());
+    let start_of_sample = |endpoints: &Endpoints| {
+        let mut sampler = Sampler::default();
+        sampler.progress(&id).previous_engine = Some(first);
+        sampler.progress(&id).next_engine = Some(third);
+        let started = starts(&mut sampler, &ledger, endpoints, 0);
+        let found = started.iter().find(|start| start.sample == id);
+        found.map(|start| start.endpoint)
+    };
+    (0..3).for_each(|_| endpoints.request_sent(third));
+    assert_eq!(start_of_sample(&endpoints), Some(third));
+    endpoints.request_sent(third);
+    assert_eq!(start_of_sample(&endpoints), Some(second));
+}
+
 #[test]
 fn slow_engine_is_not_better() {
     let ledger = ledger_of(vec![
