Moves by expected rest: one check in fleet/, used by the platform and the simulation

Cause: the simulation and platform/src/runs/moves.rs gathered the inputs of a decision separately.

Change: migration/check.rs gathers them; the platform passes what it knows of the runs.

--- a/flamingoscale/src/fleet/migration.rs
+++ b/flamingoscale/src/fleet/migration.rs
@@ -8,6 +8,7 @@
 //! [`move_reason`] decides by the time between events alone. [`expected_rest`] compares the expected
 //! remaining time here and elsewhere; `docs/design/pace.md` compares the two.
 
+pub mod check;
 pub mod expected_rest;
 pub mod experience;
 
--- a/flamingoscale/src/fleet/migration/expected_rest/tests/simulation.rs
+++ b/flamingoscale/src/fleet/migration/expected_rest/tests/simulation.rs
@@ -13,10 +13,7 @@
 
 use super::*;
 use crate::fleet::{
-    endpoints::{
-        Endpoint,
-        Endpoints, //
-    },
+    endpoints::Endpoints,
     fixtures::{
         apply,
         batch,
@@ -25,6 +22,10 @@
     },
     ledger::Ledger,
     migration::{
+        check::{
+            CheckedRun,
+            ServiceCheck, //
+        },
         experience::Experience,
         move_reason,
         MoveReason,
@@ -35,11 +36,9 @@
     sampling::{
         has_better_engine,
         median_event_ms,
-        other_engine,
         usual_event_ms,
         SampleId,
-        Sampler,
-        FULL, //
+        Sampler, //
     },
 };
 
@@ -47,6 +46,7 @@
 const TICK_MS: u64 = 5;
 const CHECK_MS: u64 = 100;
 const EVENT_TOKENS: f64 = 80.0;
+const PROMPT_TOKENS: u32 = 300;
 
 /// Draws the slowdowns of a day.
 type Draw = dyn Fn(&mut ChaCha8Rng) -> Schedule;
@@ -64,21 +64,14 @@
     progress: f64,
 }
 
-#[derive(Default)]
-struct Outcome {
-    batch_ms: Vec<f64>,
-    moves: usize,
-}
-
-impl Outcome {
-    fn mean_ms(&self) -> f64 {
-        self.batch_ms.iter().sum::<f64>() / self.batch_ms.len() as f64
-    }
+struct Text {
+    events: u64,
+    total_events: u64,
+    expected_tokens: u32,
 }
 
 struct Day {
     policy: MovePolicy,
-    shared: bool,
     slowdowns: Schedule,
     random: ChaCha8Rng,
     ledger: Ledger,
@@ -86,7 +79,7 @@
     sampler: Sampler,
     experience: Experience,
     active: Vec<Active>,
-    events: HashMap<SampleId, (u64, u64)>,
+    texts: HashMap<SampleId, Text>,
     now_ms: u64,
     /// Whether samples may be able to start.
     changed: bool,
@@ -94,12 +87,12 @@
 }
 
 impl Day {
-    fn play(policy: MovePolicy, shared: bool, slowdowns: Schedule, seed: u64) -> Outcome {
+    /// Returns the mean time of a batch in milliseconds, and the number of moves.
+    fn play(policy: MovePolicy, shared: bool, slowdowns: Schedule, seed: u64) -> (f64, usize) {
         let names: Vec<String> = (0..ENGINES).map(|number| format!("e{number:02}")).collect();
         let listings: Vec<_> = names.iter().map(|id| listing(id, "saiq", 99)).collect();
         let mut day = Self {
             policy,
-            shared,
             slowdowns,
             random: ChaCha8Rng::seed_from_u64(seed),
             ledger: Ledger::default(),
@@ -107,7 +100,7 @@
             sampler: Sampler::default(),
             experience: Experience::default(),
             active: Vec::new(),
-            events: HashMap::new(),
+            texts: HashMap::new(),
             now_ms: 1_000,
             changed: true,
             moves: 0,
@@ -117,11 +110,12 @@
             engines: assigned.collect(),
         };
         apply(&mut day.ledger, 0, assignment, 0);
-        let batch_ms = (1..=10).map(|step| day.play_batch(step)).collect();
-        Outcome {
-            batch_ms,
-            moves: day.moves,
+        for id in names.iter().filter(|_| shared) {
+            let engine = day.endpoints.find(id).unwrap();
+            day.endpoints.work_factor_reported(engine, 1.0, 0);
         }
+        let sum_ms: f64 = (1..=10).map(|step| day.play_batch(step)).sum();
+        (sum_ms / 10.0, day.moves)
     }
 
     /// Plays one batch until nine tenths of its groups are finished.
@@ -134,12 +128,13 @@
             let expected = 400.0 * 5.0_f64.powf(self.random.random::<f64>());
             let actual = expected * 3.0_f64.powf(self.random.random::<f64>() - 0.5);
             tokens.insert(sample, expected as u32);
-            let id = (
-                name.as_str().into(),
-                format!("s{}.{}", sample.0, sample.1).into(),
-            );
-            let total = (actual / EVENT_TOKENS).ceil() as u64;
-            self.events.insert(id, (0, total));
+            let id = format!("s{}.{}", sample.0, sample.1);
+            let text = Text {
+                events: 0,
+                total_events: (actual / EVENT_TOKENS).ceil() as u64,
+                expected_tokens: expected as u32,
+            };
+            self.texts.insert((name.as_str().into(), id.into()), text);
         }
         let record = batch(&name, step, 40, |group, index| tokens[&(group, index)]);
         apply(&mut self.ledger, step * 1_000, record, 0);
@@ -178,7 +173,7 @@
         for start in started {
             self.endpoints.request_sent(start.endpoint);
             self.active.push(Active {
-                before: self.events[&start.sample].0,
+                before: self.texts[&start.sample].events,
                 id: start.sample,
                 engine: start.endpoint,
                 sent_ms: self.now_ms,
@@ -211,30 +206,20 @@
             if run.progress >= 1.0 {
                 run.progress -= 1.0;
                 run.pace.record_event(self.now_ms);
-                let (events, total) = self.events.get_mut(&run.id).unwrap();
-                *events += 1;
-                if *events == *total {
+                let text = self.texts.get_mut(&run.id).unwrap();
+                text.events += 1;
+                if text.events == text.total_events {
                     finished.push(index);
                 }
             }
         }
         for index in finished.into_iter().rev() {
             let run = self.end(index);
-            let state = &self.ledger.batches[batch];
-            let sample = state
-                .batch
-                .samples
-                .iter()
-                .find(|sample| sample.id == run.id.1);
-            let tokens = sample.unwrap().expected_tokens;
-            self.experience.finished(tokens, self.events[&run.id].1);
+            let text = &self.texts[&run.id];
+            self.experience.finished(text.expected_tokens, text.events);
             let record = results(vec![result(batch, &run.id.1, "text")]);
-            apply(
-                &mut self.ledger,
-                self.now_ms * 100 + index as u64,
-                record,
-                self.now_ms,
-            );
+            let offset = self.now_ms * 100 + index as u64;
+            apply(&mut self.ledger, offset, record, self.now_ms);
         }
     }
 
@@ -246,7 +231,8 @@
         let usual_ms = usual_event_ms(&self.endpoints, "drafting");
         if run.pace.events > 0 {
             let delay_ms = run.pace.first_event_ms - run.sent_ms;
-            self.experience.started(delay_ms, usual_ms, 0.0);
+            let prefilled = self.experience.prefilled_tokens(PROMPT_TOKENS, run.before);
+            self.experience.started(delay_ms, usual_ms, prefilled);
         }
         let events = run.pace.events;
         self.sampler
@@ -283,15 +269,8 @@
                 MovePolicy::ExpectedRest => reason == Some(MoveReason::Stalled),
             };
             let better = || {
-                let (ledger, endpoints) = (&self.ledger, &self.endpoints);
-                has_better_engine(
-                    ledger,
-                    endpoints,
-                    "drafting",
-                    state,
-                    run.engine,
-                    self.now_ms,
-                )
+                let (ledger, endpoints, now_ms) = (&self.ledger, &self.endpoints, self.now_ms);
+                has_better_engine(ledger, endpoints, "drafting", state, run.engine, now_ms)
             };
             if counts && moves < MAX_MOVES && better() {
                 moving.push(index);
@@ -302,45 +281,23 @@
 
     fn expected(&mut self, batch: &str) -> Vec<usize> {
         let state = &self.ledger.batches[batch];
-        let usual_ms = usual_event_ms(&self.endpoints, "drafting");
-        let tokens: HashMap<_, _> = state
-            .batch
-            .samples
-            .iter()
-            .map(|sample| (sample.id.clone(), sample.expected_tokens))
-            .collect();
-        let views: Vec<RunView<'_>> = self
-            .active
-            .iter()
-            .map(|run| RunView {
-                engine: run.engine,
-                pace: run.pace,
-                events: run.before + run.pace.events,
-                expected_events: self.experience.expected_events(tokens[&run.id.1]),
-                restart_ms: self
-                    .experience
-                    .restart_ms(300, run.before + run.pace.events),
-                usual_ms,
-                short_slowdown_ms: short_slowdown_ms(self.shared),
-                slowdowns: &self.experience.slowdowns,
-            })
-            .collect();
-        let speeds = EngineSpeeds::of(&views, self.now_ms);
-        let factor =
-            |key, endpoint: &Endpoint| speeds.expected_factor(key, endpoint.event_ms, usual_ms);
-        let slow = self
-            .endpoints
-            .listed()
-            .filter(|(key, endpoint)| is_slow(factor(*key, endpoint)));
-        let mut reserved: HashMap<_, _> = slow.map(|(key, _)| (key, FULL)).collect();
-        let mut find = |index: usize| {
-            let run = ("drafting", state, views[index].engine);
-            let found = other_engine(&self.ledger, &self.endpoints, run, &reserved, self.now_ms)?;
-            *reserved.entry(found).or_default() += 1;
-            Some((found, factor(found, self.endpoints.get(found))))
+        let check = ServiceCheck {
+            ledger: &self.ledger,
+            endpoints: &self.endpoints,
+            service: "drafting",
+            now_ms: self.now_ms,
+        };
+        let checked = |run: &Active| CheckedRun {
+            batch: Some(state),
+            engine: run.engine,
+            pace: run.pace,
+            events: run.before + run.pace.events,
+            prompt_tokens: PROMPT_TOKENS,
+            expected_tokens: self.texts[&run.id].expected_tokens,
+            may_move: true,
         };
-        let decisions = decide(&views, &speeds, &mut find, self.now_ms);
-        self.experience.slowdowns.checked(speeds.slow_engines());
+        let checked: Vec<CheckedRun<'_>> = self.active.iter().map(checked).collect();
+        let decisions = check.decide(&mut self.experience, &checked);
         let to = decisions
             .iter()
             .map(|decision| (decision.run.index, decision.to));
@@ -360,9 +317,9 @@
         let (mut sum_ms, mut moves) = (0.0, 0);
         for seed in SEEDS {
             let mut random = ChaCha8Rng::seed_from_u64(seed);
-            let outcome = Day::play(policy, shared, slowdowns(&mut random), seed);
-            sum_ms += outcome.mean_ms();
-            moves += outcome.moves;
+            let day = Day::play(policy, shared, slowdowns(&mut random), seed);
+            sum_ms += day.0;
+            moves += day.1;
         }
         let mean_ms = sum_ms / SEEDS.count() as f64;
         println!("{name}, {policy:?}: batches of {mean_ms:.0} ms, {moves} moves");
