--- a/flamingoscale/src/fleet/placement.rs
+++ b/flamingoscale/src/fleet/placement.rs
@@ -248,7 +248,7 @@
 }
 
 /// Requests that this pass has placed on each engine and that are not in flight yet.
-pub(super) type Reserved = HashMap<EndpointKey, u32>;
+pub type Reserved = HashMap<EndpointKey, u32>;
 
 /// Chooses engines for samples, and keeps account of the memory of their runs.
 #[derive(Debug)]
@@ -677,6 +677,18 @@
 /// Returns the median time between two events over the engines of a service, in milliseconds;
 /// infinity if no engine has a known time.
 pub fn median_event_ms(endpoints: &Endpoints, service: &str) -> f64 {
+    event_ms_at(endpoints, service, 2)
+}
+
+/// Returns the time between two events that a quarter of the engines of a service keep, in
+/// milliseconds; infinity if no engine has a known time. It stays usual while half of them are slow.
+pub fn usual_event_ms(endpoints: &Endpoints, service: &str) -> f64 {
+    event_ms_at(endpoints, service, 4)
+}
+
+/// Returns the time between two events of the engine that stands at `1 / divisor` of the engines of
+/// a service, fastest first.
+fn event_ms_at(endpoints: &Endpoints, service: &str, divisor: usize) -> f64 {
     let mut intervals_ms: Vec<f64> = endpoints
         .of_service(service)
         .map(|(_, endpoint)| endpoint.event_ms)
@@ -684,7 +696,7 @@
         .collect();
     intervals_ms.sort_by(f64::total_cmp);
     intervals_ms
-        .get(intervals_ms.len() / 2)
+        .get(intervals_ms.len() / divisor)
         .copied()
         .unwrap_or(f64::INFINITY)
 }
--- a/flamingoscale/src/fleet/sampling.rs
+++ b/flamingoscale/src/fleet/sampling.rs
@@ -47,6 +47,9 @@
 /// Upper limit of the retry delay.
 const MAX_RETRY_DELAY_MS: u64 = 1_000;
 
+/// Number of reserved slots that makes an engine count as full, whatever it has.
+pub const FULL: u32 = 1 << 20;
+
 /// Time that scoring adds to a sample, as the number of output tokens that take as long: a scoring
 /// call takes about 30 ms, a token 0.6 ms.
 const SCORING_TOKENS: u32 = 50;
@@ -80,6 +83,8 @@
     /// The engine that the sample was most recently moved away from. The sample returns to that
     /// engine only if no other engine has room.
     pub previous_engine: Option<EndpointKey>,
+    /// The engine that the move was decided for. The sample starts there if it still has room.
+    pub next_engine: Option<EndpointKey>,
     /// How often the sample was moved to another engine.
     pub moves: u32,
     /// What a run of the sample needs, once it has been considered.
@@ -118,6 +123,7 @@
     service: Arc<str>,
     software: Option<Arc<str>>,
     previous_engine: Option<EndpointKey>,
+    next_engine: Option<EndpointKey>,
     needs: Arc<Needs>,
     checks_memory: bool,
 }
@@ -343,6 +349,7 @@
             checks_memory: !is_overdue || !self.placement.is_oversized(&service, &needs),
             needs,
             previous_engine: progress.previous_engine,
+            next_engine: progress.next_engine,
             software: (pass.software)(&id),
             service,
             id,
@@ -368,7 +375,7 @@
                 placement.expected_load(pass.ledger, pass.endpoints, (service, state), waiting)
             });
         let mut lacks_memory = false;
-        let mut find = |software: Option<&str>, excluded| {
+        let mut find = |software: Option<&str>, excluded, reserved: &Reserved| {
             let query = EngineQuery {
                 service,
                 state,
@@ -379,22 +386,24 @@
                 expected_load,
             };
             let (ledger, endpoints) = (pass.ledger, pass.endpoints);
-            let pick =
-                placement.pick_engine(ledger, endpoints, &query, &pass.reserved, pass.now_ms);
+            let pick = placement.pick_engine(ledger, endpoints, &query, reserved, pass.now_ms);
             lacks_memory |= pick.lacks_memory;
             pick.engine
         };
+        let decided = candidate.next_engine.and_then(|only| {
+            let reserved = reserve_others(pass.endpoints, service, only, &pass.reserved);
+            find(candidate.software.as_deref(), None, &reserved)
+        });
         let previous = candidate.previous_engine;
         let mut engine = |software: Option<&str>| {
             // Running again on the previous engine is better than not running.
-            let other = find(software, previous);
-            other.or_else(|| previous.and_then(|_| find(software, None)))
+            let other = find(software, previous, &pass.reserved);
+            other.or_else(|| previous.and_then(|_| find(software, None, &pass.reserved)))
         };
-        let same_software = candidate
-            .software
-            .as_deref()
-            .and_then(|name| engine(Some(name)));
-        let engine = same_software.or_else(|| engine(None));
+        let software = candidate.software.as_deref();
+        let engine = decided
+            .or_else(|| software.and_then(|name| engine(Some(name))))
+            .or_else(|| engine(None));
         if engine.is_none() && lacks_memory {
             let progress = self.progress.entry(candidate.id.clone()).or_default();
             if progress.deferred_since_ms.is_none() {
@@ -535,6 +544,7 @@
         *self.running.entry(candidate.id.0.clone()).or_default() += 1;
         let progress = self.progress(&candidate.id);
         progress.running.push(endpoint);
+        progress.next_engine = None;
         progress.deferred_since_ms = None;
         progress.overtaken = 0;
         pass.starts.push(Start {
@@ -558,9 +568,26 @@
         ledger: &Ledger,
         endpoints: &Endpoints,
         (service, state): (&str, &BatchState),
-        (sample, excluded): (&SampleId, EndpointKey),
+        run: (&SampleId, EndpointKey),
         now_ms: u64,
     ) -> bool {
+        let reserved = Reserved::new();
+        let engine = self.other_engine(ledger, endpoints, (service, state), run, &reserved, now_ms);
+        let median_ms = median_event_ms(endpoints, service);
+        engine.is_some_and(|key| endpoints.get(key).event_ms <= NORMAL_PACE_FACTOR * median_ms)
+    }
+
+    /// Returns the engine on which a sample that runs on the `excluded` engine would continue, or `None`
+    /// if no other engine has room. `reserved` are slots that count as occupied.
+    pub fn other_engine(
+        &self,
+        ledger: &Ledger,
+        endpoints: &Endpoints,
+        (service, state): (&str, &BatchState),
+        (sample, excluded): (&SampleId, EndpointKey),
+        reserved: &Reserved,
+        now_ms: u64,
+    ) -> Option<EndpointKey> {
         let progress = self.progress.get(sample);
         let needs = progress.and_then(|progress| progress.needs.clone());
         let query = EngineQuery {
@@ -572,16 +599,28 @@
             checks_memory: true,
             expected_load: 0.0,
         };
-        let reserved = Reserved::new();
         let pick = self
             .placement
-            .pick_engine(ledger, endpoints, &query, &reserved, now_ms);
-        let median_ms = median_event_ms(endpoints, service);
-        pick.engine
-            .is_some_and(|(key, _)| endpoints.get(key).event_ms <= NORMAL_PACE_FACTOR * median_ms)
+            .pick_engine(ledger, endpoints, &query, reserved, now_ms);
+        pick.engine.map(|(key, _)| key)
     }
 }
 
+/// Returns the reserved slots with all engines of the service as full except one.
+fn reserve_others(
+    endpoints: &Endpoints,
+    service: &str,
+    only: EndpointKey,
+    reserved: &Reserved,
+) -> Reserved {
+    let slots = |key| match key == only {
+        true => reserved.get(&key).copied().unwrap_or(0),
+        false => FULL,
+    };
+    let engines = endpoints.of_service(service);
+    engines.map(|(key, _)| (key, slots(key))).collect()
+}
+
 /// Place of a sample in the start order of its batch.
 #[derive(Clone, Copy, Debug)]
 struct Position {
