--- a/flamingoscale/src/fleet/placement/tests.rs
+++ b/flamingoscale/src/fleet/placement/tests.rs
@@ -455,13 +455,13 @@
 
 #[test]
 fn prefixes_take_no_longer_on_8_and_24_engines() {
-    prefix_loads(8, 16, 100).map(check_steps);
-    prefix_loads(24, 8, 100).map(check_steps);
+    prefix_loads(8, 16, 100).into_iter().for_each(check_steps);
+    prefix_loads(24, 8, 100).into_iter().for_each(check_steps);
 }
 
 #[test]
 fn prefixes_take_no_longer_on_48_engines() {
-    prefix_loads(48, 16, 200).map(check_steps);
+    prefix_loads(48, 16, 200).into_iter().for_each(check_steps);
 }
 
 /// Returns the preempted runs of 400 samples in groups of eight on 4 engines whose slots hold more than their memory,
