--- a/flamingoscale/src/fleet/configuration.rs
+++ b/flamingoscale/src/fleet/configuration.rs
@@ -45,8 +45,6 @@
     pub single_version: bool,
     /// Time after the submission of a batch after which its unfinished samples may be abandoned.
     pub retention_ms: u64,
-    /// Rank of the requests; 0 is the most urgent.
-    pub priority: u32,
 }
 
 /// Settings of a service whose endpoints are model engines.
@@ -109,9 +107,6 @@
     pub services: HashMap<Arc<str>, Service>,
     /// Organisations by API key; `None` if the operator doesn't use API keys.
     pub keys: Option<HashMap<Arc<str>, Arc<str>>>,
-    /// Rank of the requests of an organisation, which goes before that of the route; 0 is the most
-    /// urgent. Organisations without a rank are not listed.
-    pub organisation_priorities: HashMap<Arc<str>, u32>,
     /// Size limits for requests of callers.
     pub limits: Limits,
     /// Where requests may run; empty where no route and no organisation has home regions.
--- a/flamingoscale/src/fleet/configuration/tests.rs
+++ b/flamingoscale/src/fleet/configuration/tests.rs
@@ -14,7 +14,6 @@
         public,
         single_version: false,
         retention_ms: 40_000,
-        priority: 2,
     })
 }
 
--- a/flamingoscale/src/fleet/placement/tests.rs
+++ b/flamingoscale/src/fleet/placement/tests.rs
@@ -37,7 +37,6 @@
 const DEFAULT: Policies = Policies {
     move_samples: crate::fleet::policies::MovePolicy::Interval,
     place_samples: PlacementPolicy::Slots,
-    share_engines: crate::fleet::policies::SharePolicy::Demand,
     prefixes: false,
     rent_endpoints: false,
 };
--- a/flamingoscale/src/fleet/policies.rs
+++ b/flamingoscale/src/fleet/policies.rs
@@ -40,16 +40,6 @@
     Room,
 }
 
-/// How the engines of a service are shared out among models.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum SharePolicy {
-    /// By the expected tokens of each model's newest batch.
-    #[default]
-    Demand,
-    /// By demand, and by how late each model's batches are.
-    Lateness,
-}
-
 /// The policies of one instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Policies {
@@ -57,8 +47,6 @@
     pub move_samples: MovePolicy,
     /// What limits the samples of an engine.
     pub place_samples: PlacementPolicy,
-    /// How engines are shared out among models.
-    pub share_engines: SharePolicy,
     /// Whether the prompt parts that an engine still holds count in its choice.
     pub prefixes: bool,
     /// Whether endpoints are rented from the platform.
@@ -92,18 +80,6 @@
     }
 }
 
-impl std::str::FromStr for SharePolicy {
-    type Err = PolicyError;
-
-    fn from_str(name: &str) -> Result<Self> {
-        one_of(
-            name,
-            "demand or lateness",
-            &[("demand", Self::Demand), ("lateness", Self::Lateness)],
-        )
-    }
-}
-
 /// Parses a switch: `on` or `off`.
 ///
 /// # Errors
