--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 for program in target/review/case target/release/flamingoscale-entry; do
     [ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build.sh"; exit 2; }
 done
-target/review/case ended-route "$here"
+target/review/case crashing-stream "$here"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -293,6 +293,8 @@
     pub begun: Mutex<HashMap<String, Vec<(f64, usize)>>>,
     /// When each request id was finished by a server.
     pub finished: Mutex<HashMap<String, f64>>,
+    /// The requests that crashed their server, and when.
+    pub crashes: Mutex<Vec<(String, f64)>>,
 }
 
 /// What a request for tokens asks for, in its body: `events=N ms=N status=N`.
@@ -500,10 +502,11 @@
     }
 
     /// Generates the events of an item, from the one after `Last-Event-Id` on.
-    fn generate(&self, request: &Request, stream: &TcpStream, id: &str, own_id: &str) -> Act {
+    fn generate(self: &Arc<Self>, request: &Request, stream: &TcpStream, id: &str, own_id: &str) -> Act {
         let events = ask(&request.body, "events", 4);
         let event_ms = ask(&request.body, "ms", 50);
         let status = ask(&request.body, "status", 200);
+        let crashes_after = ask(&request.body, "crash", 0);
         let first: u64 = request.header("Last-Event-Id").parse().unwrap_or(0) + 1;
         note(&format!("run: engine {} begins {id} at event {first}", self.number));
         if status != 200 {
@@ -543,6 +546,13 @@
                 note(&format!("run: engine {} lost the connection of {id}", self.number));
                 return Act::Close;
             }
+            if crashes_after == number {
+                // The request crashes the server that runs it; it is back after some seconds.
+                self.runs.crashes.lock().unwrap().push((id.to_owned(), at()));
+                sleep_ms(30);
+                self.crash(3_000);
+                return Act::Close;
+            }
         }
         self.runs.finished.lock().unwrap().insert(id.to_owned(), at());
         note(&format!("run: engine {} finished {id}", self.number));
