--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -316,12 +316,12 @@
 /// Many callers look up the same public card; lookup servers crash now and then; then the final fault.
 fn same_lookup(trouble: bool) -> i32 {
     let routes = [drafts_route(40, 7_500), cards_route("/card/", 800, true)];
-    let small = small(&configuration(1, &routes, &[MODEL]), (4, 6, 120), (3, 12), &Bounds { status_s: 120 });
+    let small = small(&configuration(1, &routes, &[MODEL]), (6, 6, 120), (3, 12), &Bounds { status_s: 120 });
     let nodes = small.fleet.nodes.clone();
     let served: Arc<Mutex<Vec<(f64, bool, String)>>> = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
     let fronts: Vec<_> = nodes.iter().map(|node| node.front).collect();
-    let callers = 30;
+    let callers = 45;
     let done = Arc::new(AtomicUsize::new(0));
     for caller in 0..callers {
         let (served, stop, fronts, done) = (served.clone(), stop.clone(), fronts.clone(), done.clone());
@@ -358,7 +358,7 @@
     }
     let began = at();
     if trouble {
-        // srv_crash: one of the four servers, for 4.5 s.
+        // srv_crash: one of the six servers, for 4.5 s.
         sleep_until(began + 12.0);
         small.portals[0].crash(4_500);
         // The final fault: all processes are killed.
