Reused results keep their texts when the earlier batch is removed

Cause: a result that is reused in a later batch named the text record of the earlier one, which is removed with that batch. Evidence: the log line names the missing key, whose prefix is the earlier batch.

The removal of a batch waits for results of later batches that name its texts, which only instances of earlier releases list. The stored formats are unchanged.

--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -19,6 +19,7 @@
 use self::followed::PendingRecords;
 pub use self::followed::{
     joined_batch,
+    results_of,
     BatchState,
     ResultList, //
 };
@@ -356,10 +357,15 @@
         self.batches.values().filter_map(due).collect()
     }
 
-    /// Returns the oldest ended batch that was submitted before `before_unix_ms`.
-    pub fn oldest_expired_batch(&self, before_unix_ms: u64) -> Option<Rc<BatchSummary>> {
+    /// Returns the oldest ended batch that was submitted before `before_unix_ms` and is removable.
+    pub fn oldest_expired_batch(
+        &self,
+        before_unix_ms: u64,
+        is_removable: &dyn Fn(&BatchSummary) -> bool,
+    ) -> Option<Rc<BatchSummary>> {
         let expired = self.registered.values().filter(|registered| {
-            registered.ended && registered.summary.submitted_unix_ms < before_unix_ms
+            let is_old = registered.summary.submitted_unix_ms < before_unix_ms;
+            registered.ended && is_old && is_removable(&registered.summary)
         });
         let oldest = expired.min_by_key(|registered| registered.summary.submitted_unix_ms)?;
         Some(oldest.summary.clone())
--- a/flamingoscale/src/fleet/ledger/followed.rs
+++ b/flamingoscale/src/fleet/ledger/followed.rs
@@ -88,7 +88,7 @@
 }
 
 /// Returns the results in a record of results, and none of any other record.
-fn results_of(record: Record) -> Vec<SampleResult> {
+pub fn results_of(record: Record) -> Vec<SampleResult> {
     match record {
         Record::Results { results, .. } => results,
         Record::ScoredResults { results, .. } => results
--- a/flamingoscale/src/fleet/ledger/tests.rs
+++ b/flamingoscale/src/fleet/ledger/tests.rs
@@ -288,13 +288,13 @@
         ended("old/1"),
     ];
     let mut ledger = replayed(&records);
-    let expired = ledger.oldest_expired_batch(5_000).unwrap();
+    let expired = ledger.oldest_expired_batch(5_000, &|_| true).unwrap();
     assert_eq!((&*expired.id, expired.submitted_unix_ms), ("old/1", 2_000));
     let registered = Record::BatchRegistered((*expired).clone());
     let key = registered.key("n1/7", 3);
     assert_eq!(Removed::from_key(&key), Some(Removed::Batch("old/1")));
     ledger.remove(Removed::Batch("old/1"));
-    assert!(ledger.oldest_expired_batch(5_000).is_none());
+    assert!(ledger.oldest_expired_batch(5_000, &|_| true).is_none());
     assert!(!ledger.batches.contains_key("old/1") && ledger.last_results.is_empty());
     assert!(ledger.registered.contains_key("new"));
 }
