--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -34,6 +34,7 @@
 pub mod renting;
 pub mod sampling;
 pub mod scoring;
+pub mod shutdown;
 pub mod statements;
 pub mod streams;
 pub mod texts;
