Open batches are run after a takeover whatever their age

Cause: needed_batches counted a batch as over 60 s after its submission, whatever retention_s says. Evidence: the new holder's log has "batch loaded" for the later batches only.

Change: a batch is read until it has ended or all its results are recorded. Renting, which had the same constant, counts an unfinished batch as work until retention_s. The test open_and_newest_batches_of_a_partition_are_needed asserted the fault; unfinished_and_newest_batches_of_a_partition_are_needed checks the same cases at any age, and finished ones.

--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -44,10 +44,6 @@
     }, //
 };
 
-/// Batches that were submitted longer ago than this count as over, even if no end was recorded. No
-/// batch may run for longer than 40 s.
-const MAX_OPEN_MS: u64 = 60_000;
-
 /// Number of the newest batches of a model that the instance that runs the model's samples reads,
 /// even if they have ended: their samples may be submitted again.
 const RECENT_BATCHES: usize = 2;
@@ -313,9 +309,9 @@
         state.is_some_and(|state| !state.ended && !state.results.contains(sample))
     }
 
-    /// Returns the batches of a partition that the instance that runs their samples has to read:
-    /// those that are open and the newest ones of each model.
-    pub fn needed_batches(&self, partition: u32, now_unix_ms: u64) -> Vec<Rc<BatchSummary>> {
+    /// Returns the batches of a partition that the instance that runs their samples has to read: those
+    /// whose samples may lack a result, whatever their age, and the newest ones of each model.
+    pub fn needed_batches(&self, partition: u32) -> Vec<Rc<BatchSummary>> {
         let mut by_model: HashMap<&Arc<str>, Vec<&RegisteredBatch>> = HashMap::new();
         let in_partition = self
             .registered
@@ -329,9 +325,7 @@
         for mut batches in by_model.into_values() {
             batches.sort_by_key(|registered| Reverse(registered.summary.submitted_unix_ms));
             for (rank, registered) in batches.into_iter().enumerate() {
-                let age_ms = now_unix_ms.saturating_sub(registered.summary.submitted_unix_ms);
-                let is_open = !registered.ended && age_ms < MAX_OPEN_MS;
-                if is_open || rank < RECENT_BATCHES {
+                if registered.is_unfinished() || rank < RECENT_BATCHES {
                     needed.push(registered.summary.clone());
                 }
             }
--- a/flamingoscale/src/fleet/ledger/tests.rs
+++ b/flamingoscale/src/fleet/ledger/tests.rs
@@ -198,32 +198,40 @@
     assert_eq!(positions_read_from(&records, "b"), positions(&live, "b"));
 }
 
-/// The instance that runs the samples of a model reads its open batches and the newest ones.
+/// The instance that runs the samples of a model reads its unfinished batches and the newest ones.
+/// Guards against LOST: open batches that were submitted more than a minute ago were not read.
 #[test]
-fn open_and_newest_batches_of_a_partition_are_needed() {
+fn unfinished_and_newest_batches_of_a_partition_are_needed() {
+    const DAY_S: u64 = 86_400;
     let mut ledger = Ledger::default();
     for step in 1..=5 {
+        // Batches of five days.
+        let submitted_s = step * DAY_S;
         apply(
             &mut ledger,
             step,
-            batch(&format!("b{step}"), step, 1, |_, _| 10),
+            batch(&format!("b{step}"), submitted_s, 1, |_, _| 10),
             0,
         );
     }
-    for ended in ["b1", "b2", "b4", "b5"] {
+    for ended in ["b1", "b4", "b5"] {
         let batch = ended.into();
         ledger.apply(9, Record::BatchEnded { batch }, 0);
     }
-    let needed = |partition: u32, now_unix_ms: u64| {
-        let needed = ledger.needed_batches(partition, now_unix_ms);
+    let needed = |ledger: &Ledger, partition: u32| {
+        let needed = ledger.needed_batches(partition);
         let mut needed: Vec<String> = needed.iter().map(|batch| batch.id.to_string()).collect();
         needed.sort();
         needed
     };
     let partition = batch_partition("notes");
-    assert_eq!(needed(partition, 6_000), ["b3", "b4", "b5"]);
-    assert_eq!(needed(partition, 3_000 + MAX_OPEN_MS), ["b4", "b5"]);
-    assert!(needed(partition + 1, 6_000).is_empty());
+    assert_eq!(needed(&ledger, partition), ["b2", "b3", "b4", "b5"]);
+    for (batch, milestone) in [("b2", Milestone::Finished), ("b3", Milestone::HalfFinished)] {
+        let batch = batch.into();
+        ledger.apply(10, Record::BatchMilestone { batch, milestone }, 0);
+    }
+    assert_eq!(needed(&ledger, partition), ["b3", "b4", "b5"]);
+    assert!(needed(&ledger, partition + 1).is_empty());
 }
 
 /// Followed batches are dropped when another instance runs their samples.
--- a/flamingoscale/src/fleet/renting.rs
+++ b/flamingoscale/src/fleet/renting.rs
@@ -301,6 +301,8 @@
     pub evacuated: &'a BTreeSet<Arc<str>>,
     /// Time after its submission within which a batch is wanted.
     pub target_ms: u64,
+    /// How long after its submission a batch may lack results before its samples are given up.
+    pub retention_ms: u64,
     /// Term of the control lease.
     pub term: u64,
     /// Monotonic time in milliseconds.
--- a/flamingoscale/src/fleet/renting/demand.rs
+++ b/flamingoscale/src/fleet/renting/demand.rs
@@ -14,9 +14,8 @@
     record::Milestone, //
 };
 
-/// Batches that were submitted longer ago are left out: no batch may run for longer than 40 s, so its end
-/// was lost.
-const MAX_BATCH_AGE_MS: u64 = 60_000;
+/// Finished and ended batches that were submitted longer ago say nothing about the present speed.
+const MAX_DONE_AGE_MS: u64 = 60_000;
 
 /// Part of a batch that counts as done if it was ended after half of it: trainers wait for 90% of its
 /// groups.
@@ -81,7 +80,12 @@
     fn add(&mut self, batch: &RegisteredBatch, view: &View<'_>) {
         let summary = &batch.summary;
         let age_ms = view.now_unix_ms.saturating_sub(summary.submitted_unix_ms);
-        if age_ms > MAX_BATCH_AGE_MS {
+        // The samples of a batch that is still open then may be given up.
+        let max_age_ms = match batch.is_unfinished() {
+            true => view.retention_ms.max(MAX_DONE_AGE_MS),
+            false => MAX_DONE_AGE_MS,
+        };
+        if age_ms > max_age_ms {
             return;
         }
         let share = done_share(batch);
--- a/flamingoscale/src/fleet/renting/tests.rs
+++ b/flamingoscale/src/fleet/renting/tests.rs
@@ -17,7 +17,8 @@
         BatchSummary,
         Milestone,
         Record, //
-    }, //
+    },
+    renting::demand::Demand, //
 };
 
 const TICK_MS: u64 = 500;
@@ -215,6 +216,7 @@
             ledger: &self.ledger,
             evacuated: &self.evacuated,
             target_ms: 7_500,
+            retention_ms: 40_000,
             term: self.term,
             now_ms: self.now_ms,
             now_unix_ms: START_UNIX_MS + self.now_ms,
@@ -556,6 +558,7 @@
             ledger: &game.ledger,
             evacuated: &game.evacuated,
             target_ms: 7_500,
+            retention_ms: 40_000,
             term: 1,
             now_ms: game.now_ms,
             now_unix_ms: START_UNIX_MS + game.now_ms,
@@ -610,3 +613,32 @@
         }
     }
 }
+
+/// Guards against a step that is given no endpoints: an unfinished batch counts as work until its
+/// samples may be given up, whatever its age; a finished one does not.
+#[test]
+fn unfinished_batches_of_any_age_are_work() {
+    let mut game = Game::new(0.95);
+    game.now_ms = BATCH_INTERVAL_MS;
+    game.work();
+    let batch = game.batches[0].0.clone();
+    let open_samples = |game: &Game, age_ms: u64| {
+        let view = View {
+            service: &game.service,
+            endpoints: &game.endpoints,
+            ledger: &game.ledger,
+            evacuated: &game.evacuated,
+            target_ms: 90_000,
+            retention_ms: 110_000,
+            term: 1,
+            now_ms: game.now_ms,
+            now_unix_ms: START_UNIX_MS + game.now_ms + age_ms,
+        };
+        Demand::of(&view).open_samples
+    };
+    let by_age = [0, 61_000, 109_000, 111_000].map(|age_ms| open_samples(&game, age_ms));
+    assert_eq!(by_age, [Some(200), Some(200), Some(200), Some(0)]);
+    let milestone = Milestone::Finished;
+    game.apply(Record::BatchMilestone { batch, milestone });
+    assert_eq!(open_samples(&game, 61_000), Some(0));
+}
