A stream that crashes endpoints is held back at all instances

Cause: a broken connection made a request suspect only before the head of the response. Evidence: no record of the request in the store after the case. The class, a check at the first of several steps, also covers cut-off bodies of lookups.

Change: a request is suspected wherever its connection breaks. What counts is a crash: the endpoint's incarnation has ended, and counts once. Counting each break after the head as before would have held back every popular stream. New record EndpointCrashed, which skips; its Suspect records are no longer counted, so that its bans end with it.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -37,6 +37,7 @@
 pub mod shutdown;
 pub mod statements;
 pub mod streams;
+pub mod suspects;
 pub mod texts;
 pub mod usage;
 pub mod warming;
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -41,6 +41,10 @@
     statements::{
         Announced,
         Statement, //
+    },
+    suspects::{
+        Crash,
+        Suspects, //
     }, //
 };
 
@@ -122,8 +126,8 @@
     pub members: BTreeMap<Arc<str>, MemberState>,
     /// Usage windows by number.
     pub windows: BTreeMap<u64, WindowState>,
-    /// How often a request broke the connection to an endpoint, by the fingerprint of the request.
-    pub suspects: HashMap<u64, u32>,
+    /// The requests that were at work at crashes of endpoints.
+    pub suspects: Suspects,
     /// The model that each engine primarily serves, by endpoint id.
     pub assignments: HashMap<Arc<str>, Arc<str>>,
     /// What instances have announced that endpoints say of themselves, by endpoint id.
@@ -207,8 +211,20 @@
             Record::WindowReported { window } => {
                 self.windows.entry(window).or_default().reported = true
             }
-            Record::Suspect { fingerprint } => {
-                *self.suspects.entry(fingerprint).or_default() += 1;
+            // These count broken connections, which are no crashes.
+            Record::Suspect { .. } => (),
+            Record::EndpointCrashed {
+                fingerprint,
+                endpoint,
+                started_unix_ms,
+                noticed_unix_ms,
+            } => {
+                let crash = Crash {
+                    endpoint,
+                    started_unix_ms,
+                    noticed_unix_ms,
+                };
+                self.suspects.crashed(fingerprint, crash);
             }
             Record::ModelAssignment { engines } => self.assignments = engines.into_iter().collect(),
             Record::EndpointLimit {
@@ -378,6 +394,11 @@
         match removed {
             Removed::Window(window) => drop(self.windows.remove(&window)),
             Removed::Statement(endpoint) => drop(self.statements.remove(endpoint)),
+            Removed::Crash {
+                fingerprint,
+                endpoint,
+                started_unix_ms,
+            } => self.suspects.forget(fingerprint, endpoint, started_unix_ms),
             Removed::Batch(batch) => {
                 self.registered.remove(batch);
                 self.ended.remove(batch);
--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -403,7 +403,8 @@
         /// Number of the window: its start time divided by its length.
         window: u64,
     },
-    /// A request broke the connection to an endpoint and may have crashed the endpoint.
+    /// Replaced by [`Record::EndpointCrashed`] and no longer written. It keeps its place, because the
+    /// encoding numbers the variants.
     Suspect {
         /// Digest of the organisation, path and body of the request.
         fingerprint: u64,
@@ -503,6 +504,17 @@
         /// What the next holder of the control lease has to know.
         record: SubjectRecord,
     },
+    /// An endpoint crashed while a request was at work there.
+    EndpointCrashed {
+        /// Digest of the organisation, path and body of the request.
+        fingerprint: u64,
+        /// Id of the endpoint.
+        endpoint: Arc<str>,
+        /// Start time of the endpoint's incarnation in Unix milliseconds.
+        started_unix_ms: u64,
+        /// When the crash was noticed, in Unix milliseconds.
+        noticed_unix_ms: u64,
+    },
 }
 
 impl Record {
@@ -629,6 +641,12 @@
             Self::EndpointsOrdered { subject, .. } => {
                 format!("a/r/{}/{}", subject.service, subject.failure_domain)
             }
+            Self::EndpointCrashed {
+                fingerprint,
+                endpoint,
+                started_unix_ms,
+                ..
+            } => crash_key(*fingerprint, *started_unix_ms, endpoint),
         }
     }
 }
@@ -699,6 +717,11 @@
     format!("{STATEMENT_KEY_PREFIX}{endpoint}")
 }
 
+/// Returns the key of the [`Record::EndpointCrashed`] record of a request and an endpoint's incarnation.
+pub fn crash_key(fingerprint: u64, started_unix_ms: u64, endpoint: &str) -> String {
+    format!("{CRASH_KEY_PREFIX}{fingerprint:016x}/{started_unix_ms}/{endpoint}")
+}
+
 /// Returns the key of the [`Record::BatchEnded`] record of a batch.
 pub fn ended_key(batch: &str) -> String {
     format!("a/e/{batch}")
@@ -715,6 +738,7 @@
 const REGISTERED_KEY_PREFIX: &str = "a/o/";
 const REPORTED_KEY_PREFIX: &str = "a/d/";
 const STATEMENT_KEY_PREFIX: &str = "a/n/";
+const CRASH_KEY_PREFIX: &str = "a/c/";
 
 /// The state that becomes obsolete when a record is removed from the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -725,6 +749,15 @@
     Window(u64),
     /// What the endpoint with this id says of itself.
     Statement(&'a str),
+    /// A crash at which a request was at work.
+    Crash {
+        /// Digest of the organisation, path and body of the request.
+        fingerprint: u64,
+        /// Id of the endpoint.
+        endpoint: &'a str,
+        /// Start time of the endpoint's incarnation in Unix milliseconds.
+        started_unix_ms: u64,
+    },
 }
 
 impl<'a> Removed<'a> {
@@ -736,6 +769,14 @@
         if let Some(endpoint) = key.strip_prefix(STATEMENT_KEY_PREFIX) {
             return Some(Self::Statement(endpoint));
         }
+        if let Some(crash) = key.strip_prefix(CRASH_KEY_PREFIX) {
+            let mut parts = crash.splitn(3, '/');
+            return Some(Self::Crash {
+                fingerprint: u64::from_str_radix(parts.next()?, 16).ok()?,
+                started_unix_ms: parts.next()?.parse().ok()?,
+                endpoint: parts.next()?,
+            });
+        }
         // The batch id is followed by the writer's name, its incarnation and the serial number.
         let rest = key.strip_prefix(REGISTERED_KEY_PREFIX)?;
         rest.rsplitn(4, '/').nth(3).map(Self::Batch)
