--- a/flamingoscale/src/fleet/scoring.rs
+++ b/flamingoscale/src/fleet/scoring.rs
@@ -284,7 +284,8 @@
 /// leaves a quarter of them to lookups.
 pub fn call_limit(slots: u32, other_load: u32, callers: u32) -> u32 {
     let share = slots / 2 / callers.max(1);
-    let free = (slots * SHARED_SLOT_QUARTERS / 4).saturating_sub(other_load);
+    let free = slots.saturating_mul(SHARED_SLOT_QUARTERS) / 4;
+    let free = free.saturating_sub(other_load);
     share.max(free).max(1)
 }
 
