Instances of former releases hold back requests that crash endpoints, too

Change: a request that is held back also gets the three Suspect records that make them refuse it; they are removed with its crashes.

--- a/flamingoscale/src/fleet/record.rs
+++ b/flamingoscale/src/fleet/record.rs
@@ -404,8 +404,8 @@
         /// Number of the window: its start time divided by its length.
         window: u64,
     },
-    /// Replaced by [`Record::EndpointCrashed`] and no longer written. It keeps its place, because the
-    /// encoding numbers the variants.
+    /// Makes instances of former releases hold back a request: three of them do. Replaced by
+    /// [`Record::EndpointCrashed`], and ignored by this release.
     Suspect {
         /// Digest of the organisation, path and body of the request.
         fingerprint: u64,
@@ -740,6 +740,12 @@
     format!("{CRASH_KEY_PREFIX}{fingerprint:016x}/{started_unix_ms}/{endpoint}")
 }
 
+/// Returns the keys of the [`Record::Suspect`] records that make instances of former releases hold back
+/// a request.
+pub fn suspect_keys(fingerprint: u64) -> [String; 3] {
+    [0, 1, 2].map(|number| format!("a/q/{fingerprint:016x}/{number}"))
+}
+
 /// Returns the key of the [`Record::BatchEnded`] record of a batch.
 pub fn ended_key(batch: &str) -> String {
     format!("a/e/{batch}")
