--- a/flamingoscale/src/fleet/software.rs
+++ b/flamingoscale/src/fleet/software.rs
@@ -26,7 +26,7 @@
 const CLOCK_MARGIN_MS: u64 = 10_000;
 
 /// What is recorded of one version of the software of a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Version {
     /// When the version was first seen, in Unix milliseconds.
     pub first_unix_ms: u64,
--- a/flamingoscale/src/fleet/suspects.rs
+++ b/flamingoscale/src/fleet/suspects.rs
@@ -50,21 +50,20 @@
     /// The request was at work at some crashes, and runs.
     Suspect,
     /// The request must not run.
-    HeldBack {
-        /// Number of crashes.
-        crashes: usize,
-        /// Time since the last crash, in milliseconds.
-        age_ms: u64,
-        /// Time until the request may run again, in milliseconds.
-        left_ms: u64,
-    },
+    HeldBack(HeldBack),
     /// The request may run once, at the instance that [`trial_instance`] names.
-    Trial {
-        /// Number of crashes.
-        crashes: usize,
-        /// Time since the last crash, in milliseconds.
-        age_ms: u64,
-    },
+    Trial(HeldBack),
+}
+
+/// Why a request is held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldBack {
+    /// Number of crashes.
+    pub crashes: usize,
+    /// Time since the last crash, in milliseconds.
+    pub age_ms: u64,
+    /// Time until the request may run again, in milliseconds.
+    pub left_ms: u64,
 }
 
 /// The crashes of requests, by the fingerprint of the request.
@@ -102,17 +101,17 @@
             return Suspicion::None;
         };
         let age_ms = now_unix_ms.saturating_sub(last_noticed_unix_ms(crashes));
-        let crashes = crashes.len();
-        let hold_ms = hold_ms(crashes);
-        match (hold_ms, hold_ms.saturating_sub(age_ms)) {
+        let hold_ms = hold_ms(crashes.len());
+        let held_back = HeldBack {
+            crashes: crashes.len(),
+            age_ms,
+            left_ms: hold_ms.saturating_sub(age_ms),
+        };
+        match (hold_ms, held_back.left_ms) {
             (0, _) if age_ms >= CRASH_LIFETIME_MS => Suspicion::None,
             (0, _) => Suspicion::Suspect,
-            (_, 0) => Suspicion::Trial { crashes, age_ms },
-            (_, left_ms) => Suspicion::HeldBack {
-                crashes,
-                age_ms,
-                left_ms,
-            },
+            (_, 0) => Suspicion::Trial(held_back),
+            _ => Suspicion::HeldBack(held_back),
         }
     }
 
--- a/flamingoscale/src/fleet/suspects/tests.rs
+++ b/flamingoscale/src/fleet/suspects/tests.rs
@@ -13,7 +13,7 @@
 
 fn is_held_back(suspects: &Suspects, fingerprint: u64, now_ms: u64) -> bool {
     let suspicion = suspects.suspicion(fingerprint, now_ms);
-    matches!(suspicion, Suspicion::HeldBack { .. })
+    matches!(suspicion, Suspicion::HeldBack(_))
 }
 
 /// Connections that break at one crash count once, whichever instances see them break.
@@ -42,8 +42,8 @@
         let instance = &instances[attempt % instances.len()];
         let runs = match suspects.suspicion(POISON, now_ms) {
             Suspicion::None | Suspicion::Suspect => true,
-            Suspicion::HeldBack { .. } => false,
-            Suspicion::Trial { .. } => trial_instance(POISON, &instances) == Some(instance),
+            Suspicion::HeldBack(_) => false,
+            Suspicion::Trial(_) => trial_instance(POISON, &instances) == Some(instance),
         };
         if runs {
             suspects.crashed(POISON, crash(attempt % 4, now_ms, now_ms));
@@ -77,16 +77,17 @@
     for number in 0..3 {
         suspects.crashed(POPULAR, crash(number, 0, 100));
     }
-    let held_back = Suspicion::HeldBack {
+    let held_back = Suspicion::HeldBack(HeldBack {
         crashes: 3,
         age_ms: 400,
         left_ms: HOLD_MS - 400,
-    };
+    });
     assert_eq!(suspects.suspicion(POPULAR, 500), held_back);
-    let trial = Suspicion::Trial {
+    let trial = Suspicion::Trial(HeldBack {
         crashes: 3,
         age_ms: HOLD_MS,
-    };
+        left_ms: 0,
+    });
     assert_eq!(suspects.suspicion(POPULAR, 100 + HOLD_MS), trial);
     assert_eq!(suspects.acquit(POPULAR).len(), 3);
     assert_eq!(suspects.suspicion(POPULAR, 500), Suspicion::None);
