--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,7 +2,7 @@
 # The stand-ins of review/6 and later are Python programs without dependencies: nothing is compiled. This
 # checks that they can be run.
 cd "$(dirname "$0")" || exit 1
-python3 -B - standin-2/world.py 6/case.py 7/case.py 8/case.py 9/case.py <<'CHECK'
+python3 -B - standin-2/world.py 6/case.py 7/case.py 8/case.py 9/case.py 10/case.py <<'CHECK'
 import ast
 import sys
 
--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -420,8 +420,8 @@
             await asyncio.sleep(0.1)
         raise NotRun(f"{self.name} did not become ready")
 
-    async def call(self, method, target, headers=(), body=b"", timeout_s=30, key=KEY):
-        headers = [("Host", HOST)] + ([("Authorization", f"Bearer {key}")] if key else []) + list(headers)
+    async def call(self, method, target, headers=(), body=b"", timeout_s=30, key=KEY, host=HOST):
+        headers = [("Host", host)] + ([("Authorization", f"Bearer {key}")] if key else []) + list(headers)
         return await call("127.0.0.1", self.ports["front"], method, target, headers, body, timeout_s)
 
 
