--- a/review/7/case.py
+++ b/review/7/case.py
@@ -54,7 +54,7 @@
         for instance in world.instances:
             status, now = await read(world, instance)
             broken += status in (404, 410) or (status == 200 and now != before)
-        await asyncio.sleep(1)
+        await asyncio.sleep(0.7)
     world.say(f"{broken} of 9 reads of results that had been read before got 404, or other results")
     return broken == 0
 
