--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -32,14 +33,22 @@
 }
 
 
+USED_PORTS = set()
+
+
 def free_ports(count):
-    """Returns free ports of 127.0.0.1."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Returns free ports of 127.0.0.1 below those that the system hands out by itself."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(12000, 30000)
+        with socket.socket() as item:
+            try:
+                item.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in USED_PORTS:
+            USED_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
@@ -468,7 +477,6 @@
 
 class World:
     def __init__(self, folder_of_case, seed=1):
-        import random
         self.random = random.Random(seed)
         self.folder_of_case = folder_of_case
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -568,6 +576,7 @@
 
     async def run():
         world = World(folder)
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             held = await asyncio.wait_for(scenario(world), 115)
             world.say("the rule held" if held else "the rule was broken")
