Batches: found by their id whatever became of their route

Cause: calls for batches were admitted by the routes and the keys' use of the present configuration before the batch was looked for.

Ruled out: that the batch is forgotten (it can be read again once the route is back).

--- a/flamingoscale/src/fleet/configuration.rs
+++ b/flamingoscale/src/fleet/configuration.rs
@@ -152,6 +152,17 @@
     LargeBody,
 }
 
+/// Who sends a request, as far as its API key tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Caller {
+    /// The operator uses no API keys, so that nobody can be told apart.
+    Anyone,
+    /// An organisation.
+    Organisation(Arc<str>),
+    /// The API key is missing or unknown.
+    Unknown,
+}
+
 impl Configuration {
     /// Returns the route of the host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
@@ -161,11 +172,6 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
-    /// Returns whether any route applies to the host.
-    pub fn serves_host(&self, host: &str) -> bool {
-        self.routes.iter().any(|route| &*route.host == host)
-    }
-
     /// Returns the route of a request and the organisation that it runs for.
     ///
     /// # Errors
@@ -186,12 +192,34 @@
         Err(Denial::UnknownKey)
     }
 
+    /// Returns who sends a request with this API key.
+    pub fn caller(&self, key: Option<&str>) -> Caller {
+        match (&self.keys, self.organisation(key)) {
+            (None, _) => Caller::Anyone,
+            (Some(_), Some(organisation)) => Caller::Organisation(organisation),
+            (Some(_), None) => Caller::Unknown,
+        }
+    }
+
     /// Returns the organisation of an API key, or `None` if the key is missing or unknown.
     pub fn organisation(&self, key: Option<&str>) -> Option<Arc<str>> {
         self.keys.as_ref()?.get(key?).cloned()
     }
 }
 
+impl Caller {
+    /// Returns whether the caller may use what was accepted for an organisation, or for none if the
+    /// name is empty. What is accepted is a promise, so it depends neither on the routes that the
+    /// configuration has now nor on whether it still has API keys. See `docs/incidents/removed-routes.md`.
+    pub fn may_use(&self, owner: &str) -> bool {
+        match self {
+            Self::Anyone => true,
+            Self::Organisation(organisation) => owner.is_empty() || **organisation == *owner,
+            Self::Unknown => owner.is_empty(),
+        }
+    }
+}
+
 impl Route {
     /// Selects a service in proportion to the weights. `draw` is a uniformly distributed random
     /// number. Returns `None` if the weights add up to 0.
--- a/flamingoscale/src/fleet/configuration/tests.rs
+++ b/flamingoscale/src/fleet/configuration/tests.rs
@@ -68,3 +68,32 @@
         .count();
     assert_eq!(to_b, 100);
 }
+
+/// Guards against LOST: what was accepted was judged by the routes and keys of the configuration of now. See
+/// docs/incidents/removed-routes.md.
+#[test]
+fn what_was_accepted_can_be_used_under_any_later_configuration() {
+    let with_keys = configuration();
+    let without_routes = Configuration {
+        routes: Vec::new(),
+        ..with_keys.clone()
+    };
+    let without_keys = Configuration {
+        keys: None,
+        ..with_keys.clone()
+    };
+    for configuration in [&with_keys, &without_routes] {
+        let may_use = |key, owner| configuration.caller(key).may_use(owner);
+        assert!(may_use(Some("key-1"), "lodges"));
+        assert!(!may_use(Some("key-1"), "rescue"));
+        assert!(!may_use(Some("key-2"), "lodges"));
+        assert!(!may_use(None, "lodges"));
+        // It was accepted while there were no keys, or on a public route.
+        assert!(may_use(Some("key-1"), "") && may_use(None, ""));
+    }
+    for owner in ["lodges", "rescue", ""] {
+        assert!(without_keys.caller(None).may_use(owner));
+    }
+    assert_eq!(without_keys.caller(Some("key-1")), Caller::Anyone);
+    assert_eq!(with_keys.caller(None), Caller::Unknown);
+}
