HTTP client: an answer without a final status is none

What callers saw: the users report that a status 000 reached clients of other systems. Here 000 to 099 were errors of the HTTP library already, but 101 and 600 to 999 were passed on as answers, and with "not executed" beside them they were believed and told to the caller as a 503, which is a promise.

Cause: hyper accepts every number from 100 on, and nothing behind it asked.

--- a/flamingoscale/src/outcome.rs
+++ b/flamingoscale/src/outcome.rs
@@ -10,6 +10,14 @@
     Serialize, //
 };
 
+/// Returns whether an endpoint's final answer may have this status.
+///
+/// HTTP clients pass on any number of three digits, or any above 99. A faulty endpoint's 000, 101 or 999 is
+/// no answer, so it must not reach a caller and says nothing about whether the request ran.
+pub fn is_final_status(status: u16) -> bool {
+    (200..600).contains(&status)
+}
+
 /// The reason why a request was refused before it ran.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[non_exhaustive]
--- a/flamingoscale/src/service.rs
+++ b/flamingoscale/src/service.rs
@@ -37,6 +37,7 @@
         }, //
     },
     outcome::{
+        is_final_status,
         NotRun,
         Outcome,
         Refusal, //
@@ -205,6 +206,9 @@
             "another endpoint answered at this address",
         ));
     }
+    if !is_final_status(response.status().as_u16()) {
+        return Some(AttemptEnd::unknown("the service's answer has no status"));
+    }
     if !headers.contains_key(NOT_RUN_HEADER) {
         return None;
     }
