Gateway: a stream that breaks off does not end as a complete body

Cause: the body ended as complete whenever nothing more came.

Change: only the end of a complete answer ends the body as such. The error event is written before the connection is closed.

--- a/flamingoscale/src/gateway/stream.rs
+++ b/flamingoscale/src/gateway/stream.rs
@@ -105,6 +105,10 @@
     end_hooks: Vec<EndHook>,
     /// Number of tokens delivered so far.
     tokens: u64,
+    /// Whether the end of a complete answer has come. Without it the body must not end as a complete one does.
+    is_complete: bool,
+    /// Whether an error event has to be written before the connection is closed.
+    has_unwritten_error: bool,
     /// Makes a graceful shutdown wait for the end of the stream.
     _guard: WorkGuard,
 }
@@ -125,6 +129,8 @@
             pieces,
             end_hooks: streamed.end_hooks,
             tokens: 0,
+            is_complete: false,
+            has_unwritten_error: false,
             _guard: guard,
         }
     }
@@ -147,6 +153,11 @@
     type Item = Result<Bytes, AnswerInterrupted>;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if std::mem::take(&mut self.has_unwritten_error) {
+            // The server writes what it has before it polls again, and drops it on an error.
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let piece = match self.pieces.poll_recv(context) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(piece) => piece,
@@ -158,13 +169,15 @@
             }
             Some(Piece::End { bytes, end }) => {
                 self.end(end);
+                self.is_complete = matches!(end, RequestEnd::Ran { .. });
+                self.has_unwritten_error = bytes.is_some() && !self.is_complete;
                 match bytes {
                     Some(bytes) => Poll::Ready(Some(Ok(bytes))),
-                    None if matches!(end, RequestEnd::Ran { .. }) => Poll::Ready(None),
+                    None if self.is_complete => Poll::Ready(None),
                     None => Poll::Ready(Some(Err(AnswerInterrupted))),
                 }
             }
-            None if self.end_hooks.is_empty() => Poll::Ready(None),
+            None if self.is_complete => Poll::Ready(None),
             None => {
                 self.end(RequestEnd::Unknown);
                 Poll::Ready(Some(Err(AnswerInterrupted)))
@@ -263,8 +276,7 @@
             .await;
     }
 
-    /// Ends the answer early: server-sent events with an error event, other answers by closing the
-    /// connection.
+    /// Ends the answer early by closing the connection, server-sent events after an error event.
     async fn end_early(&self, end: RequestEnd, kind: &str, message: &str) {
         let bytes = self.is_sse.then(|| {
             sse_event(&ErrorEvent {
--- a/standin/tests/traffic/bed.rs
+++ b/standin/tests/traffic/bed.rs
@@ -173,6 +173,18 @@
             .expect("the request should get a response")
     }
 
+    /// Withdraws all API keys at all instances.
+    pub(crate) fn withdraw_all_keys(&self) {
+        self.cluster.update(|view| {
+            let mut keys = (*view.keys).clone();
+            let ids: Vec<Arc<str>> = keys.iter().map(|key| key.key_id.clone()).collect();
+            for id in ids {
+                keys.withdraw(&id);
+            }
+            view.keys = Arc::new(keys);
+        });
+    }
+
     /// Posts a lookup of `id` to the service `lookup` through an instance.
     pub(crate) async fn look_up(
         &self,
--- a/standin/tests/traffic/path.rs
+++ b/standin/tests/traffic/path.rs
@@ -1,10 +1,7 @@
 //! Requests without endpoint crashes: complete responses, correct outcomes, at most one run of a
 //! request that is not idempotent, authentication, idempotency keys and usage.
 
-use std::{
-    sync::Arc,
-    time::Instant, //
-};
+use std::time::Instant;
 
 use awc::http::StatusCode;
 use flamingoscale::wire::{
@@ -24,6 +21,14 @@
     }, //
 };
 
+use tokio::{
+    io::{
+        AsyncReadExt,
+        AsyncWriteExt, //
+    },
+    net::TcpStream, //
+};
+
 use crate::fixture::{
     client,
     outcome,
@@ -197,14 +202,7 @@
         .await
         .expect("the stream should not end yet")
         .expect("the stream should deliver bytes");
-    fixture.cluster.update(|view| {
-        let mut keys = (*view.keys).clone();
-        let ids: Vec<Arc<str>> = keys.iter().map(|key| key.key_id.clone()).collect();
-        for id in ids {
-            keys.withdraw(&id);
-        }
-        view.keys = Arc::new(keys);
-    });
+    fixture.withdraw_all_keys();
     let mut rest = Vec::new();
     while let Some(bytes) = response.next().await {
         rest.extend_from_slice(&bytes.expect("the stream should end with an event"));
@@ -214,6 +212,38 @@
     assert!(!rest.contains("[DONE]"));
 }
 
+/// Guards against MIXED: a stream that broke off after it had begun ended with an error event and then as a
+/// complete body does. The test reads the bytes, because the client takes a body that was cut off for a whole
+/// one. See docs/incidents/errors-in-streams.md.
+#[actix_rt::test]
+async fn stream_that_breaks_off_does_not_end_as_a_complete_one() {
+    let fixture = start_fixture().await;
+    let body =
+        r#"{"model": "draft", "prompt": "a long one", "max_tokens": 100000, "stream": true}"#;
+    let address = &fixture.cluster.nodes[0].address;
+    let mut connection = TcpStream::connect(address)
+        .await
+        .expect("the instance should listen");
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: {address}\r\nauthorization: {}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        fixture.authorization(),
+        body.len()
+    );
+    let sent = connection.write_all(request.as_bytes()).await;
+    sent.expect("the request should be taken");
+    let mut stream = vec![0; 64];
+    let begun = connection.read_exact(&mut stream).await;
+    begun.expect("the stream should begin");
+    fixture.withdraw_all_keys();
+    // An error is one more way in which the response may break off.
+    let _ = connection.read_to_end(&mut stream).await;
+    let stream = String::from_utf8_lossy(&stream);
+    assert!(stream.contains("transfer-encoding: chunked"));
+    assert!(stream.contains("key_withdrawn"));
+    assert!(!stream.ends_with("\r\n0\r\n\r\n"), "the body is complete");
+}
+
 #[actix_rt::test]
 async fn entries_list_the_nearest_instance_first() {
     let fixture = start_fixture().await;
