--- a/review/standin-3/clients.rs
+++ b/review/standin-3/clients.rs
@@ -171,6 +171,8 @@
 pub struct ItemResult {
     pub id: String,
     pub state: String,
+    /// The text, as it stands in the JSON.
+    pub output: String,
     pub score: Option<String>,
 }
 
@@ -185,6 +187,7 @@
         Some(ItemResult {
             id: text.split('"').next()?.to_owned(),
             state: field(text, "state")?,
+            output: field(text, "output").unwrap_or_default(),
             score: field(text, "score"),
         })
     });
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::HashMap,
     fs::{self, File},
-    io,
+    io::{self, Write},
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
@@ -118,7 +118,8 @@
             return Ok(());
         };
         let ids = self.instances.iter().map(|it| format!("{}\n", it.process.id()));
-        fs::write(path, ids.collect::<String>())
+        let ids = ids.collect::<String>();
+        File::options().append(true).create(true).open(path)?.write_all(ids.as_bytes())
     }
 
     fn wait_until_ready(&self) -> io::Result<()> {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
 mod clients;
+mod cuts;
 mod ends;
 mod fleet;
 mod net;
@@ -82,6 +83,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, role, id, zone, address, store] = &arguments[..] {
+        if role == "engine" {
+            return cuts::serve_engine(id, zone, address, store);
+        }
+    }
     let [_, case, folder] = &arguments[..] else {
         eprintln!("usage: standin-3 CASE FOLDER");
         return ExitCode::from(2);
@@ -89,6 +95,7 @@
     let folder = Path::new(folder);
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = Platform::start(folder).and_then(|platform| match case.as_str() {
+        "cuts" => cuts::play(&platform, folder, trouble),
         "ends" => ends::play(&platform, folder, trouble),
         "scores" => scores::play(&platform, folder, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
--- a/review/standin-3/record.rs
+++ b/review/standin-3/record.rs
@@ -3,6 +3,7 @@
 use std::{
     fs::File,
     io::Write,
+    os::fd::AsFd,
     path::Path,
     sync::Mutex,
     time::Instant,
@@ -22,6 +23,15 @@
         })
     }
 
+    /// Returns a record that goes to the standard output, from where another process takes it.
+    pub fn to_output() -> std::io::Result<Self> {
+        let output = std::io::stdout().as_fd().try_clone_to_owned()?;
+        Ok(Self {
+            started: Instant::now(),
+            file: Mutex::new(File::from(output)),
+        })
+    }
+
     /// Returns the time since the start of the case, in milliseconds.
     pub fn now_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
--- a/review/standin-3/servers.rs
+++ b/review/standin-3/servers.rs
@@ -30,6 +30,8 @@
 pub enum Work {
     /// Streams a text of so many events, with so many milliseconds before each.
     Text { events: u64, event_ms: u64 },
+    /// As `Text`, but the answer has no length and ends with its connection.
+    OpenText { events: u64, event_ms: u64 },
     /// Answers after so many milliseconds.
     Answer { ms: u64 },
 }
@@ -89,10 +91,22 @@
         store: &Arc<Store>,
         seen: &Arc<Seen>,
         host: &str,
+        names: (&str, &str, &str),
+        kind: (usize, Work, &[&str]),
+    ) -> io::Result<Arc<Self>> {
+        let store = store.clone();
+        let list = move |id: &str, entry: &str| store.put("keyed.servers", id, entry);
+        Self::start_at(TcpListener::bind((host, 0))?, list, seen, names, kind)
+    }
+
+    /// Starts a server that hands its entry to `list` at each heartbeat.
+    pub fn start_at(
+        listener: TcpListener,
+        list: impl Fn(&str, &str) + Send + 'static,
+        seen: &Arc<Seen>,
         (id, service, zone): (&str, &str, &str),
         (slots, work, models): (usize, Work, &[&str]),
     ) -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind((host, 0))?;
         let versions = models.iter().map(|model| ((*model).to_owned(), 1));
         let server = Arc::new(Self {
             id: id.to_owned(),
@@ -110,10 +124,10 @@
         });
         let serving = server.clone();
         serve(listener, move |request, stream| serving.serve(request, stream));
-        let (listed, store) = (server.clone(), store.clone());
+        let listed = server.clone();
         thread::spawn(move || {
             for sequence in 0.. {
-                store.put("keyed.servers", &listed.id, &listed.entry(sequence));
+                list(&listed.id, &listed.entry(sequence));
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -207,7 +221,12 @@
             return respond(stream, 503, &[(ID, id), (NOT_EXECUTED, "1")], b"");
         }
         let done = match self.work {
-            Work::Text { events, event_ms } => self.stream_text(request, stream, id, (events, event_ms)),
+            Work::Text { events, event_ms } => {
+                self.stream_text(request, stream, id, (events, event_ms), true)
+            }
+            Work::OpenText { events, event_ms } => {
+                self.stream_text(request, stream, id, (events, event_ms), false)
+            }
             Work::Answer { ms } => self.answer(request, stream, id, ms),
         };
         self.running.fetch_sub(1, Ordering::SeqCst);
@@ -224,6 +243,7 @@
         stream: &mut TcpStream,
         id: &str,
         (events, event_ms): (u64, u64),
+        in_chunks: bool,
     ) -> io::Result<()> {
         let last = request.header("last-event-id");
         let last: u64 = last.and_then(|last| last.parse().ok()).unwrap_or(0);
@@ -231,8 +251,12 @@
         let model = request.header("x-flamingoscale-model").unwrap_or("");
         let version = self.versions.lock().unwrap().get(model).copied().unwrap_or(1);
         thread::sleep(self.scaled(event_ms));
+        let form = match in_chunks {
+            true => "transfer-encoding: chunked",
+            false => "connection: close",
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{form}\r\n\
              {ID}: {id}\r\n{SEAL}: seal-{id}\r\nx-flamingoscale-weight-versions: {version}\r\n\r\n"
         );
         stream.write_all(head.as_bytes())?;
@@ -244,9 +268,17 @@
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
             let event = format!("id: {event}\ndata: {id}-{event}\n\n");
-            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+            let bytes = match in_chunks {
+                true => format!("{:x}\r\n{event}\r\n", event.len()),
+                false => event,
+            };
+            stream.write_all(bytes.as_bytes())?;
+        }
+        self.seen.log.line(&format!("whole {id} at {}", self.id));
+        match in_chunks {
+            true => stream.write_all(b"0\r\n\r\n"),
+            false => stream.shutdown(std::net::Shutdown::Both),
         }
-        stream.write_all(b"0\r\n\r\n")
     }
 
     /// Answers when the work is done, or with status 504 at the deadline that the request names.
