--- a/review/standin-3/clients.rs
+++ b/review/standin-3/clients.rs
@@ -68,13 +68,13 @@
         }
     }
 
-    fn pick<T: Copy>(&self, from: &[T]) -> Option<T> {
+    pub fn pick<T: Copy>(&self, from: &[T]) -> Option<T> {
         let index = self.random.lock().unwrap().below(from.len());
         from.get(index).copied()
     }
 
     /// Asks up to three directories for addresses.
-    fn addresses(&self) -> Vec<SocketAddr> {
+    pub fn addresses(&self) -> Vec<SocketAddr> {
         for _ in 0..3 {
             let Some(directory) = self.pick(&self.directories) else {
                 continue;
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -59,16 +59,21 @@
 impl Fleet {
     /// Starts instances with the store and the platform's API at these addresses.
     pub fn start(count: usize, store: SocketAddr, cloud: SocketAddr) -> io::Result<Self> {
+        Self::start_with(&vec![store; count], cloud)
+    }
+
+    /// Starts an instance for each address of the store.
+    pub fn start_with(stores: &[SocketAddr], cloud: SocketAddr) -> io::Result<Self> {
         let folder = std::env::temp_dir().join(format!("flamingoscale-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let template = fs::read_to_string("deploy/settings.ini")?;
-        let hosts: Vec<String> = (0..count).map(|number| host(10 + number)).collect();
+        let hosts: Vec<String> = (0..stores.len()).map(|number| host(10 + number)).collect();
         let port = free_ports(&hosts, 5)?;
         let mut fleet = Self {
             instances: Vec::new(),
             folder: folder.clone(),
         };
-        for (number, host) in hosts.iter().enumerate() {
+        for (number, (host, store)) in hosts.iter().zip(stores).enumerate() {
             let zone = ZONES[number % ZONES.len()];
             let name = format!("front-{zone}-{}", 1 + number / ZONES.len());
             let values = [
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod net;
 mod record;
+mod removals;
 mod scores;
 mod servers;
 mod store;
@@ -97,6 +98,7 @@
     let played = Platform::start(folder).and_then(|platform| match case.as_str() {
         "cuts" => cuts::play(&platform, folder, trouble),
         "ends" => ends::play(&platform, folder, trouble),
+        "removals" => removals::play(&platform, folder, trouble),
         "scores" => scores::play(&platform, folder, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
     });
--- a/review/standin-3/net.rs
+++ b/review/standin-3/net.rs
@@ -167,7 +167,7 @@
 
 /// Writes a response with a length.
 pub fn respond(
-    stream: &mut TcpStream,
+    stream: &mut impl Write,
     status: u16,
     headers: &[(&str, &str)],
     body: &[u8],
--- a/review/standin-3/servers.rs
+++ b/review/standin-3/servers.rs
@@ -5,7 +5,7 @@
     io::{self, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         Arc, Mutex,
     },
     thread,
@@ -41,6 +41,7 @@
 pub struct Run {
     pub at_ms: u64,
     pub id: String,
+    pub server: String,
 }
 
 /// What all servers have seen.
@@ -63,8 +64,8 @@
     fn began(&self, id: &str, server: &str, note: &str) {
         let at_ms = self.log.now_ms();
         self.log.line(&format!("run {id} at {server}{note}"));
-        let id = id.to_owned();
-        self.runs.lock().unwrap().push(Run { at_ms, id });
+        let (id, server) = (id.to_owned(), server.to_owned());
+        self.runs.lock().unwrap().push(Run { at_ms, id, server });
     }
 }
 
@@ -82,6 +83,9 @@
     orders: AtomicU64,
     versions: Mutex<HashMap<String, u64>>,
     born_ms: u64,
+    /// Whether it writes its entry.
+    is_listed: Mutex<bool>,
+    has_exited: AtomicBool,
     seen: Arc<Seen>,
 }
 
@@ -120,6 +124,8 @@
             orders: AtomicU64::new(0),
             versions: Mutex::new(versions.collect()),
             born_ms: unix_ms(),
+            is_listed: Mutex::new(true),
+            has_exited: AtomicBool::new(false),
             seen: seen.clone(),
         });
         let serving = server.clone();
@@ -127,7 +133,12 @@
         let listed = server.clone();
         thread::spawn(move || {
             for sequence in 0.. {
+                let is_listed = listed.is_listed.lock().unwrap();
+                if !*is_listed {
+                    return;
+                }
                 list(&listed.id, &listed.entry(sequence));
+                drop(is_listed);
                 thread::sleep(HEARTBEAT);
             }
         });
@@ -139,6 +150,18 @@
         self.slowness.store((factor * 100.0) as u64, Ordering::SeqCst);
     }
 
+    /// Removes its entry, without a report before, and goes on serving.
+    pub fn leave(&self, store: &Store) {
+        let mut is_listed = self.is_listed.lock().unwrap();
+        *is_listed = false;
+        store.put("keyed.servers", &self.id, "");
+    }
+
+    /// Takes no further requests.
+    pub fn exit(&self) {
+        self.has_exited.store(true, Ordering::SeqCst);
+    }
+
     fn models(&self) -> String {
         let versions = self.versions.lock().unwrap();
         let models = versions.iter().map(|(name, version)| {
@@ -165,6 +188,9 @@
     }
 
     fn serve(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+        if self.has_exited.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let target = request.header("x-flamingoscale-target-instance");
         if target.is_some_and(|target| target != self.id) {
             return respond(stream, 421, &[], b"");
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -3,13 +3,17 @@
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
-    io,
-    net::TcpStream,
-    sync::{Arc, Condvar, Mutex},
+    io::{self, ErrorKind, Write},
+    net::{SocketAddr, TcpListener},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc, Condvar, Mutex,
+    },
+    thread,
     time::{Duration, Instant},
 };
 
-use crate::net::{respond, Request};
+use crate::net::{is_closed, respond, serve, Request};
 
 /// Largest page of the newest records.
 const PAGE_RECORDS: usize = 500;
@@ -80,7 +84,7 @@
     }
 
     /// Serves one call.
-    pub fn serve(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+    pub fn serve(&self, request: &Request, stream: &mut impl Write) -> io::Result<()> {
         let until = self.state.lock().unwrap().refuses_until;
         if until.is_some_and(|until| Instant::now() < until) {
             return respond(stream, 503, &[], b"");
@@ -93,7 +97,7 @@
         }
     }
 
-    fn append(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+    fn append(&self, request: &Request, stream: &mut impl Write) -> io::Result<()> {
         let (status, body) = self.append_records(request);
         respond(stream, status, &[("content-type", "application/json")], body.as_bytes())
     }
@@ -143,7 +147,7 @@
         (200, response)
     }
 
-    fn read(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+    fn read(&self, request: &Request, stream: &mut impl Write) -> io::Result<()> {
         let from = request.number("from").unwrap_or(0) as usize;
         let most_bytes = request.number("max_kb").unwrap_or(1_024) as usize * 1_024;
         let wait = Duration::from_millis(request.number("wait_ms").unwrap_or(0).min(30_000));
@@ -170,7 +174,7 @@
         }
     }
 
-    fn newest(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+    fn newest(&self, request: &Request, stream: &mut impl Write) -> io::Result<()> {
         let after = request.query("after").unwrap_or_default();
         let mut state = self.state.lock().unwrap();
         let partition = state.partitions.entry(partition_name(request)).or_default();
@@ -201,6 +205,47 @@
     }
 }
 
+/// An address at which the store serves one machine.
+pub struct Access {
+    pub address: SocketAddr,
+    silent: AtomicBool,
+}
+
+impl Access {
+    pub fn open(store: &Arc<Store>, host: &str) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind((host, 0))?;
+        let access = Arc::new(Self {
+            address: listener.local_addr()?,
+            silent: AtomicBool::new(false),
+        });
+        let (store, serving) = (store.clone(), access.clone());
+        serve(listener, move |request, stream| {
+            let mut response = Vec::new();
+            if !serving.is_silent() {
+                store.serve(request, &mut response)?;
+            }
+            if serving.is_silent() {
+                // The call never gets a response.
+                while !is_closed(stream) {
+                    thread::sleep(Duration::from_millis(20));
+                }
+                return Err(ErrorKind::ConnectionReset.into());
+            }
+            stream.write_all(&response)
+        });
+        Ok(access)
+    }
+
+    /// Sets whether calls that come, or are under way, get no response.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+    }
+
+    fn is_silent(&self) -> bool {
+        self.silent.load(Ordering::SeqCst)
+    }
+}
+
 fn partition_name(request: &Request) -> String {
     let topic = request.query("topic").unwrap_or_default();
     format!("{topic}/{}", request.query("part").unwrap_or_default())
