--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -6,6 +6,7 @@
 mod cuts;
 mod ends;
 mod fleet;
+mod keys;
 mod net;
 mod record;
 mod removals;
@@ -61,10 +62,16 @@
 
     /// Writes the operator's configuration, with a timeout and a number of attempts for plain requests.
     pub fn configure(&self, timeout_ms: u64, attempts: u32) {
+        self.configure_keys(3, "", timeout_ms, attempts);
+    }
+
+    /// Writes a version of the configuration in which the tenant has a second key, if one is named.
+    pub fn configure_keys(&self, version: u64, second: &str, timeout_ms: u64, attempts: u32) {
         let host = clients::HOST;
+        let second = if second.is_empty() { String::new() } else { format!(",\"{second}\"") };
         let key = clients::KEY.trim_start_matches("Bearer ");
         let configuration = format!(
-            "{{\"version\":3,\"routes\":[\
+            "{{\"version\":{version},\"routes\":[\
              {{\"name\":\"draft\",\"host\":\"{host}\",\"path_prefix\":\"/draft/\",\"kind\":\"rollout\",\
              \"service\":\"engines\",\"timeout_ms\":10000,\"slo_ms\":400,\"result_slo_ms\":7500,\"max_attempts\":3,\
              \"retention_s\":40,\"priority\":1,\"resumable\":true,\"sticky\":true,\"single_version\":false}},\
@@ -76,7 +83,7 @@
              {{\"name\":\"desk\",\"max_conns\":100,\"health_path\":\"/healthz\"}}],\
              \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,\"header_timeout_ms\":3000,\
              \"idle_timeout_ms\":15000}},\
-             \"tenants\":[{{\"name\":\"huka270\",\"priority\":1,\"api_keys\":[\"{key}\"]}}]}}"
+             \"tenants\":[{{\"name\":\"huka270\",\"priority\":1,\"api_keys\":[\"{key}\"{second}]}}]}}"
         );
         self.store.put("keyed.op", "config", &configuration);
     }
@@ -98,6 +105,7 @@
     let played = Platform::start(folder).and_then(|platform| match case.as_str() {
         "cuts" => cuts::play(&platform, folder, trouble),
         "ends" => ends::play(&platform, folder, trouble),
+        "keys" => keys::play(&platform, folder, trouble),
         "removals" => removals::play(&platform, folder, trouble),
         "scores" => scores::play(&platform, folder, trouble),
         _ => Err(std::io::ErrorKind::InvalidInput.into()),
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -32,6 +32,8 @@
 #[derive(Default)]
 struct Partition {
     records: Vec<Vec<u8>>,
+    /// Offset of the first record that isn't deleted.
+    first: usize,
     newest: BTreeMap<String, (u64, Vec<u8>)>,
     producers: HashMap<String, Producer>,
 }
@@ -83,6 +85,13 @@
         self.appended.notify_all();
     }
 
+    /// Deletes the records of a topic. The newest one of each key is kept for `log-newest`.
+    pub fn delete_records(&self, topic: &str) {
+        let mut state = self.state.lock().unwrap();
+        let partition = state.partitions.entry(format!("{topic}/0")).or_default();
+        partition.first = partition.records.len();
+    }
+
     /// Serves one call.
     pub fn serve(&self, request: &Request, stream: &mut impl Write) -> io::Result<()> {
         let until = self.state.lock().unwrap().refuses_until;
@@ -156,10 +165,15 @@
         let mut state = self.state.lock().unwrap();
         loop {
             let partition = state.partitions.entry(name.clone()).or_default();
+            if from < partition.first {
+                let body = format!("{{\"first\":{}}}", partition.first);
+                drop(state);
+                return respond(stream, 410, &[("content-type", "application/json")], body.as_bytes());
+            }
             let left = deadline.saturating_duration_since(Instant::now());
             if partition.records.len() > from || left.is_zero() {
                 let mut body = (partition.records.len() as u64).to_be_bytes().to_vec();
-                body.extend_from_slice(&0_u64.to_be_bytes());
+                body.extend_from_slice(&(partition.first as u64).to_be_bytes());
                 for record in partition.records.iter().skip(from) {
                     if body.len() > 16 && body.len() + record.len() > most_bytes {
                         break;
