Samples: only a failed run counts as one, and answers are judged in one place

Cause: forward_to_endpoints counted every complete answer of 500 or above as a failed run. What an answer says about a run was decided wherever it was needed: samples counted 500, scoring calls and retries 500 and above, refusals the header alone, crashes any complete answer.

Change: fleet/answers.rs says what an answer says of its run: completed, failed, out of time, not run, unknown. Samples, scoring calls, retries, refusals, the beginning of streams and the acquittal of suspects ask it. A call that is out of time is repeated like one without an answer. On related paths: 502 and unmarked 503 are no failures, an unmarked 408, 429 or 503 reaches callers as 502 and not as a promise, a 500 with a large body is counted, a failed stream is not announced as begun, and an answer that leaves the run open acquits of no crash.

Why it works: no counter reads the status itself any more.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -6,6 +6,7 @@
 //! described in `docs/design/shared-store.md`.
 
 pub mod addresses;
+pub mod answers;
 pub mod attempts;
 pub mod cells;
 pub mod checkpoints;
--- a/flamingoscale/src/fleet/scoring.rs
+++ b/flamingoscale/src/fleet/scoring.rs
@@ -56,12 +56,13 @@
 pub enum ScoringEnd {
     /// The service returned the score.
     Scored(Arc<str>),
-    /// The service answered this many attempts with a failure, and none with a score.
+    /// This many runs of the call failed at the service, and none gave a score.
     Failed {
-        /// Number of answers.
+        /// Number of runs.
         answers: u32,
     },
-    /// The service did not answer.
+    /// No run of the call failed, and none gave a score: the service did not answer, refused the call, or
+    /// was out of time.
     Unanswered,
 }
 
