Reads after a failure: one owner of the sum of all delays

Cause: the delay is a sum (a read without an answer, the pause after it, the interval of the loop, a pause after "records deleted", the grace of missing endpoints, the turn at which they are removed), its parts stood in four files, and together they came to 5.0 s and 3.9 s.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -17,6 +17,7 @@
 pub mod evacuation;
 #[cfg(test)]
 pub(crate) mod fixtures;
+pub mod following;
 #[cfg(test)]
 mod histories;
 pub mod leases;
@@ -33,6 +34,7 @@
 pub mod record;
 pub mod regions;
 pub mod relays;
+pub mod removals;
 pub mod renting;
 pub mod sampling;
 pub mod scoring;
--- a/flamingoscale/src/fleet/pacing.rs
+++ b/flamingoscale/src/fleet/pacing.rs
@@ -9,58 +9,60 @@
 use rand_chacha::ChaCha8Rng;
 
 /// Largest page of records that a read asks for, in kilobytes.
-const MAX_PAGE_KB: u64 = 1_024;
+pub const MAX_PAGE_KB: u64 = 1_024;
 
 /// Smallest page of records that a read asks for after failures, in kilobytes.
 const MIN_PAGE_KB: u64 = 32;
 
-/// Pause after the first failure. It doubles with each further failure.
-const BASE_PAUSE_MS: u64 = 80;
+/// Pause after the first failure, before it is spread. It doubles with each further failure.
+pub(super) const BASE_PAUSE_MS: u64 = 80;
 
-/// Upper limit of the pause between reads, before it is spread. A configuration has to be read soon
-/// after the store is back, so the pause and the timeout of a read together stay below 3 s.
-const MAX_READ_PAUSE_MS: u64 = 800;
+/// Longest pause between appends. Leases are renewed by appends.
+const MAX_APPEND_PAUSE_MS: u64 = 480;
 
-/// Upper limit of the pause between appends, before it is spread. Leases are renewed by appends.
-const MAX_APPEND_PAUSE_MS: u64 = 320;
-
-/// Number of failures after which the page and the pause have reached their limits.
+/// Number of failures after which the pause has reached its limit.
 const MAX_COUNTED_FAILURES: u32 = 5;
 
+/// Number of divisions after which the page has reached its limit.
+const MAX_PAGE_LEVEL: u32 = 3;
+
 /// The pace of the calls of one instance to one topic.
 #[derive(Clone, Debug)]
 pub struct Pacing {
+    /// Upper limit of the pause before it is spread.
     max_pause_ms: u64,
     /// Failures since the last success.
     failures: u32,
+    /// How often the page is divided.
+    page_level: u32,
 }
 
 impl Pacing {
-    /// Returns the pace of reads.
-    pub fn of_reads() -> Self {
+    /// Returns a pace whose pauses are no longer than `longest_ms`.
+    pub(super) fn new(longest_ms: u64) -> Self {
         Self {
-            max_pause_ms: MAX_READ_PAUSE_MS,
+            max_pause_ms: longest_ms * 2 / 3,
             failures: 0,
+            page_level: 0,
         }
     }
 
     /// Returns the pace of appends.
     pub fn of_appends() -> Self {
-        Self {
-            max_pause_ms: MAX_APPEND_PAUSE_MS,
-            failures: 0,
-        }
+        Self::new(MAX_APPEND_PAUSE_MS)
     }
 
     /// Returns the size of the page that the next read should ask for, in kilobytes. A page that
-    /// came too late is asked for again in smaller parts, so that some of it arrives in time.
+    /// came too late is asked for again in smaller parts, so that some of it arrives in time. Pages grow
+    /// again step by step: the other instances read, too.
     pub fn page_kb(&self) -> u64 {
-        (MAX_PAGE_KB >> (2 * self.failures)).max(MIN_PAGE_KB)
+        (MAX_PAGE_KB >> (2 * self.page_level)).max(MIN_PAGE_KB)
     }
 
     /// Records that a call succeeded.
     pub fn succeeded(&mut self) {
         self.failures = 0;
+        self.page_level = self.page_level.saturating_sub(1);
     }
 
     /// Records that a call failed and returns the pause before the next one. Pauses are spread
@@ -69,7 +71,13 @@
     pub fn failed(&mut self, random: &mut ChaCha8Rng) -> u64 {
         let pause_ms = (BASE_PAUSE_MS << self.failures).min(self.max_pause_ms);
         self.failures = (self.failures + 1).min(MAX_COUNTED_FAILURES);
-        random.random_range(pause_ms / 2..=pause_ms * 3 / 2)
+        self.page_level = (self.page_level + 1).min(MAX_PAGE_LEVEL);
+        random.random_range(pause_ms / 2..=Self::longest_ms(pause_ms))
+    }
+
+    /// Returns the longest pause that a pause may become when it is spread.
+    pub(super) fn longest_ms(pause_ms: u64) -> u64 {
+        pause_ms * 3 / 2
     }
 }
 
--- a/flamingoscale/src/fleet/pacing/tests.rs
+++ b/flamingoscale/src/fleet/pacing/tests.rs
@@ -18,8 +18,10 @@
 /// What each instance has to read, in kilobytes.
 const MISSED_KB: u64 = 300;
 
-/// Time after which an instance gives up waiting for an answer.
-const TIMEOUT_MS: u64 = 1_500;
+/// Time after which an instance gives up waiting for an answer, and its longest pause, where it has to be
+/// in contact within 3 s.
+const TIMEOUT_MS: u64 = 500;
+const MAX_PAUSE_MS: u64 = 600;
 
 /// The pause of the fixed pace.
 const FIXED_PAUSE_MS: u64 = 100;
@@ -39,7 +41,7 @@
 
 impl Default for GrowingPace {
     fn default() -> Self {
-        Self(Pacing::of_reads())
+        Self(Pacing::new(MAX_PAUSE_MS))
     }
 }
 
@@ -195,16 +197,14 @@
 #[test]
 fn pauses_grow_to_their_limit_and_are_spread() {
     let mut random = ChaCha8Rng::seed_from_u64(1);
-    let mut pacing = Pacing::of_reads();
+    let mut pacing = Pacing::new(MAX_PAUSE_MS);
     assert_eq!(pacing.page_kb(), MAX_PAGE_KB);
     for _ in 0..40 {
-        assert!(pacing.failed(&mut random) <= MAX_READ_PAUSE_MS * 3 / 2);
+        assert!(pacing.failed(&mut random) <= MAX_PAUSE_MS);
     }
     assert_eq!(pacing.page_kb(), MIN_PAGE_KB);
     let pauses: Vec<u64> = (0..9).map(|_| pacing.failed(&mut random)).collect();
-    assert!(pauses
-        .iter()
-        .all(|pause_ms| *pause_ms >= MAX_READ_PAUSE_MS / 2));
+    assert!(pauses.iter().all(|pause_ms| *pause_ms >= MAX_PAUSE_MS / 3));
     assert!(pauses.windows(2).any(|pair| pair[0] != pair[1]));
     pacing.succeeded();
     assert!(pacing.failed(&mut random) <= BASE_PAUSE_MS * 3 / 2);
