Tests: an answer whose head is cut off is none, for every reader

It does not happen: the HTTP clients report an incomplete head as an error, callers get 502, and samples and scores are asked for again. No change of the product; see docs/incidents/cut-heads.md.

--- a/flamingoscale/src/engine/client.rs
+++ b/flamingoscale/src/engine/client.rs
@@ -123,3 +123,6 @@
         _ => Outcome::Unknown(error.to_string().into()),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/flamingoscale/src/platform/http.rs
+++ b/flamingoscale/src/platform/http.rs
@@ -299,6 +299,24 @@
         }
     }
 
+    /// Guards against MIXED: an answer of the platform whose head was cut off is none. See
+    /// docs/incidents/cut-heads.md.
+    #[actix_rt::test]
+    async fn an_answer_whose_head_is_cut_off_leaves_the_effect_unknown() {
+        let framings = [
+            "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ntransfer-encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n",
+        ];
+        for head in framings {
+            for length in 0..head.len() {
+                let result = append_to(serve_once(&head[..length])).await;
+                let is_unknown = matches!(result, Err(PlatformError::Unknown { .. }));
+                assert!(is_unknown, "{:?}: {result:?}", &head[..length]);
+            }
+        }
+    }
+
     #[actix_rt::test]
     async fn status_503_has_no_effect_and_500_is_unknown() {
         let unavailable = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
--- a/flamingoscale/src/service/tests.rs
+++ b/flamingoscale/src/service/tests.rs
@@ -116,6 +116,28 @@
     }
 }
 
+/// Guards against MIXED: an answer of a plain service whose head was cut off is none. See
+/// docs/incidents/cut-heads.md.
+#[actix_rt::test]
+async fn answer_whose_head_is_cut_off_is_unknown() {
+    let framings = [
+        "content-length: 2\r\n",
+        "transfer-encoding: chunked\r\n",
+        "",
+    ];
+    for framing in framings {
+        let head = format!("200 OK\r\n{ENDPOINT_HEADER}: s1\r\n{framing}\r\n");
+        for length in 0..head.len() {
+            let outcome = outcome_of("GET", &head[..length]).await;
+            assert!(
+                matches!(outcome, Outcome::Unknown(_)),
+                "{:?}: {outcome:?}",
+                &head[..length]
+            );
+        }
+    }
+}
+
 /// The same for an answer in chunks.
 #[actix_rt::test]
 async fn answer_whose_chunks_break_off_is_not_complete() {
