--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -7,6 +7,7 @@
 
 pub mod addresses;
 pub mod answers;
+pub mod appends;
 pub mod attempts;
 pub mod cells;
 pub mod checkpoints;
