Samples: the end of a connection is not the end of a text

Cause: an answer without a length or chunks ends with its connection, and so does one whose server was killed. The end between two events was taken for the end of the text.

Change: such a text goes on after its last event like one that broke off, and is whole when a run brings no other event.

Why it works: two answers say that nothing follows, not one.

--- a/flamingoscale/src/fleet/answers.rs
+++ b/flamingoscale/src/fleet/answers.rs
@@ -52,5 +52,13 @@
     matches!(status, 408 | 421 | 429 | 503)
 }
 
+/// Returns whether a text is whole whose response ended after a run that brought `events` events.
+///
+/// If a response has neither a length nor chunks, it ends with its connection, and so does one whose endpoint
+/// was killed. The text is whole only if a run that goes on after its last event brings no other.
+pub fn is_whole_text(ends_with_connection: bool, events: u64) -> bool {
+    !ends_with_connection || events == 0
+}
+
 #[cfg(test)]
 mod tests;
--- a/flamingoscale/src/fleet/answers/tests.rs
+++ b/flamingoscale/src/fleet/answers/tests.rs
@@ -38,3 +38,12 @@
         .all(|status| !RunReport::of(status, false).has_ended()));
     assert_eq!(promises.collect::<Vec<_>>(), [408, 421, 429, 503]);
 }
+
+/// Guards against MIXED: the end of a connection is not the end of a text. See
+/// docs/incidents/texts-without-length.md.
+#[test]
+fn the_end_of_a_connection_is_confirmed_by_another_run() {
+    assert!(is_whole_text(false, 24));
+    assert!(!is_whole_text(true, 14));
+    assert!(is_whole_text(true, 0));
+}
