Samples: texts and results come back to their own trainer only

Cause: results and partial texts that a later batch may use again were kept by the sample's id, which is the choice of one trainer.

Change: fleet/trainers.rs keeps what outlasts a batch by organisation, model and id.

Why it works: no lookup by the id alone is left.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -45,5 +45,6 @@
 pub mod streams;
 pub mod suspects;
 pub mod texts;
+pub mod trainers;
 pub mod usage;
 pub mod warming;
--- a/flamingoscale/src/fleet/ledger.rs
+++ b/flamingoscale/src/fleet/ledger.rs
@@ -46,7 +46,8 @@
     suspects::{
         Crash,
         Suspects, //
-    }, //
+    },
+    trainers::ByTrainer, //
 };
 
 /// Number of the newest batches of a model that the instance that runs the model's samples reads,
@@ -142,7 +143,7 @@
     /// The services to which scoring calls were sent.
     pub scoring_services: HashSet<Arc<str>>,
     /// The most recent result of each sample, from any batch.
-    pub last_results: HashMap<Arc<str>, Rc<SampleResult>>,
+    pub last_results: ByTrainer<Rc<SampleResult>>,
     /// The most recent claims, by lease.
     claims: HashMap<Arc<str>, LastClaims>,
     /// The greatest term of each lease for which a [`Record::TurnPassed`] was read.
--- a/flamingoscale/src/fleet/ledger/followed.rs
+++ b/flamingoscale/src/fleet/ledger/followed.rs
@@ -235,7 +235,7 @@
         let batches = &mut self.batches;
         batches.retain(|_, state| !is_unneeded(state));
         self.last_results
-            .retain(|_, result| batches.contains_key(&result.batch));
+            .retain(|result| batches.contains_key(&result.batch));
     }
 
     /// Keeps a batch whose records were read until it is registered, and accepts it if it is.
@@ -282,7 +282,8 @@
             return;
         };
         if let Some(result) = state.results.add(result) {
-            self.last_results.insert(result.sample.clone(), result);
+            let sample = result.sample.clone();
+            self.last_results.insert(&state.batch, sample, result);
         }
     }
 }
--- a/flamingoscale/src/fleet/ledger/tests.rs
+++ b/flamingoscale/src/fleet/ledger/tests.rs
@@ -392,3 +392,36 @@
         prop_assert_eq!(listed, repeated);
     }
 }
+
+/// Guards against MIXED: the last result of a sample is that of its own trainer. See
+/// docs/incidents/texts-of-other-trainers.md.
+#[test]
+fn last_results_are_kept_by_trainer() {
+    let of = |id: &str, organisation: &str, model: &str| {
+        let Record::Batch(of_lodges) = batch(id, 1, 1, |_, _| 10) else {
+            unreachable!("the fixture is a batch");
+        };
+        Arc::new(Batch {
+            organisation: organisation.into(),
+            model: model.into(),
+            ..Batch::clone(&of_lodges)
+        })
+    };
+    let batches = [
+        of("a", "lodges", "notes"),
+        of("b", "rescue", "notes"),
+        of("c", "lodges", "cards"),
+    ];
+    let mut records: Vec<Record> = Vec::new();
+    for batch in &batches {
+        records.push(Record::Batch(batch.clone()));
+        records.push(Record::BatchRegistered(batch.summary()));
+        records.push(results(vec![result(&batch.id, "s0.0", "text")]));
+    }
+    let ledger = replayed(&records);
+    for batch in &batches {
+        let last = ledger.last_results.get(batch, "s0.0");
+        let last = last.expect("it has a result");
+        assert_eq!(last.batch, batch.id);
+    }
+}
