Samples: runs that fail are counted over all batches of a trainer

Cause: failures were counted for each batch alone.

Change: fleet/failures.rs counts by trainer and sample. After three rejections, or three times max_attempts failed runs, a sample is listed as errored in a later batch without a run.

Why it works: the count outlasts the batch at the instance that runs the samples.

--- a/flamingoscale/src/fleet.rs
+++ b/flamingoscale/src/fleet.rs
@@ -16,6 +16,7 @@
 pub mod configuration;
 pub mod endpoints;
 pub mod evacuation;
+pub mod failures;
 #[cfg(test)]
 pub(crate) mod fixtures;
 pub mod following;
