Start: what was written during the first read is read at once

Cause: an instance is ready before it knows that it has read the fleet topic to its end. After the newest records it waited up to a second for the next record, and refused meanwhile.

--- a/flamingoscale/src/fleet/following.rs
+++ b/flamingoscale/src/fleet/following.rs
@@ -100,7 +100,7 @@
     topic: Topic,
     pacing: Pacing,
     next_offset: Option<u64>,
-    /// Whether the last page reached the end and no read has failed since.
+    /// Whether the last page was read from an offset and reached the end, and no read has failed since.
     at_end: bool,
     /// Whether the last read failed.
     failing: bool,
@@ -138,7 +138,8 @@
         self.next_offset = Some(offset);
     }
 
-    /// Returns whether the last page reached the end and no read has failed since.
+    /// Returns whether the last page was read from an offset and reached the end, and no read has failed
+    /// since.
     pub fn is_at_end(&self) -> bool {
         self.at_end
     }
@@ -176,14 +177,15 @@
         }
     }
 
-    /// Records a page that goes up to `next_offset`.
+    /// Records a page that goes up to `next_offset`. The newest records are not a snapshot, so what was
+    /// written while they were read is read at once.
     pub fn page_read(&mut self, next_offset: u64, end_offset: u64, now_ms: u64) {
         if self.at_end {
             self.doubtful_since_ms = None;
         }
         self.pacing.succeeded();
+        self.at_end = self.next_offset.is_some() && next_offset >= end_offset;
         self.next_offset = Some(next_offset);
-        self.at_end = next_offset >= end_offset;
         self.failing = false;
         self.answered_ms = Some(now_ms);
     }
--- a/flamingoscale/src/fleet/following/tests.rs
+++ b/flamingoscale/src/fleet/following/tests.rs
@@ -369,6 +369,23 @@
     assert!(late_leaver(Planted::ActsOncePerInterval).is_some());
 }
 
+/// Guards against refusals of an instance that has just started: it waited for the next record before it knew
+/// that it had read all of them. See docs/incidents/late-after-silence.md.
+#[test]
+fn what_was_written_during_the_first_read_is_read_at_once() {
+    for topic in TOPICS {
+        let mut following = Following::new(Lateness::new(CONTACTS_MS[0]), topic);
+        assert_eq!(following.next_read().from, None);
+        following.page_read(9, 9, 10);
+        let next = following.next_read();
+        assert_eq!((next.from, next.wait_ms), (Some(9), 0));
+        assert_eq!((following.is_at_end(), following.interval_ms()), (false, 0));
+        following.page_read(9, 9, 20);
+        assert_eq!(following.next_read().wait_ms > 0, topic.waits);
+        assert!(following.is_at_end());
+    }
+}
+
 /// The time between two failed reads is bounded below, so that a store that is back is not flooded.
 #[test]
 fn an_instance_does_not_flood_a_store_that_fails() {
