--- a/flamingoscale/src/fleet/following.rs
+++ b/flamingoscale/src/fleet/following.rs
@@ -80,6 +80,41 @@
     pub waits: bool,
 }
 
+impl Topic {
+    /// Configuration, keys, announced versions and evacuations.
+    pub const OPERATOR: Self = Self {
+        interval_ms: 0,
+        waits: true,
+    };
+
+    /// Instances, leases, and batches that have begun or ended. The interval is a fraction of the time
+    /// after which an instance may claim a lease.
+    pub const FLEET: Self = Self {
+        interval_ms: 150,
+        waits: true,
+    };
+
+    /// Heartbeats of a cell.
+    pub const HEARTBEATS: Self = Self {
+        interval_ms: 400,
+        waits: true,
+    };
+
+    /// Batches of the models whose samples the instance runs. The interval lets one read return the
+    /// records of several instances.
+    pub const BATCHES: Self = Self {
+        interval_ms: 40,
+        waits: true,
+    };
+
+    /// The list of endpoints. The interval is a fifth of the two seconds within which a draining endpoint
+    /// must stop getting work.
+    pub const ENDPOINTS: Self = Self {
+        interval_ms: 400,
+        waits: false,
+    };
+}
+
 /// The next read of a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NextRead {
--- a/flamingoscale/src/fleet/following/tests.rs
+++ b/flamingoscale/src/fleet/following/tests.rs
@@ -27,34 +27,13 @@
 
 /// The topics that instances follow.
 const TOPICS: [Topic; 5] = [
-    // Configuration, keys, announced versions and evacuations.
-    Topic {
-        interval_ms: 0,
-        waits: true,
-    },
-    // Instances, leases and batches that have begun or ended.
-    Topic {
-        interval_ms: 150,
-        waits: true,
-    },
-    // Heartbeats.
-    Topic {
-        interval_ms: 400,
-        waits: true,
-    },
-    // Batches of the models whose samples the instance runs.
-    Topic {
-        interval_ms: 40,
-        waits: true,
-    },
-    ENDPOINTS,
+    Topic::OPERATOR,
+    Topic::FLEET,
+    Topic::HEARTBEATS,
+    Topic::BATCHES,
+    Topic::ENDPOINTS,
 ];
 
-const ENDPOINTS: Topic = Topic {
-    interval_ms: 400,
-    waits: false,
-};
-
 /// What happens to reads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Failure {
@@ -264,7 +243,7 @@
                 if relisted {
                     removals.listed("endpoint");
                 } else if store.changed_ms <= as_of_ms && !is_known {
-                    match topic == ENDPOINTS {
+                    match topic == Topic::ENDPOINTS {
                         true => removals.missing("endpoint", false, &following, now_ms),
                         false => followed.in_force_ms = Some(now_ms),
                     }
@@ -427,7 +406,7 @@
             changed_ms,
             relisted_ms: None,
         };
-        let followed = follow(&store, ENDPOINTS, contact_ms, planted, &mut random);
+        let followed = follow(&store, Topic::ENDPOINTS, contact_ms, planted, &mut random);
         let in_force_ms = followed.in_force_ms.unwrap_or(u64::MAX);
         let is_late = in_force_ms >= changed_ms + DRAIN_MS;
         is_late.then(|| format!("{followed:?}, {store:?}"))
@@ -472,7 +451,13 @@
             relisted_ms: Some(sound_ms + RELISTED_MS),
         };
         let contact_ms = CONTACTS_MS[seed as usize % CONTACTS_MS.len()];
-        let followed = follow(&store, ENDPOINTS, contact_ms, Planted::Nothing, &mut random);
+        let followed = follow(
+            &store,
+            Topic::ENDPOINTS,
+            contact_ms,
+            Planted::Nothing,
+            &mut random,
+        );
         assert_eq!(followed.in_force_ms, None, "{followed:?}, {store:?}");
     }
 }
